--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+export PYTHONPATH = src
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: demo test check soak measure capacity clean
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m heathermount.standins.demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+check: $(VENV)/.installed
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+
+soak: $(VENV)/.installed
+	$(BIN)/python -m heathermount.standins.soak --seed=$(SEED) --seconds=$(SECONDS)
+
+measure: $(VENV)/.installed
+	$(BIN)/python -m heathermount.standins.measure
+
+capacity: $(VENV)/.installed
+	$(BIN)/python -m heathermount.standins.capacity
+
+clean:
+	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/src/heathermount/clocks.py
@@ -0,0 +1,47 @@
+"""Clocks that are passed in, so that tests can drive time."""
+
+import time
+from typing import Protocol
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
+
+
+class Clock(Protocol):
+    """Source of time, in seconds."""
+
+    def monotonic(self) -> float:
+        """Return time for durations; unaffected by clock adjustments."""
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch."""
+
+
+class SystemClock:
+    """The operating system's clocks."""
+
+    __slots__ = ()
+
+    def monotonic(self) -> float:
+        return time.monotonic()
+
+    def wall(self) -> float:
+        return time.time()
+
+
+class ManualClock:
+    """A clock that moves only when told to."""
+
+    __slots__ = ("_now", "_wall_offset")
+
+    def __init__(self, now: float = 1000.0, wall: float = 1_700_000_000.0) -> None:
+        self._now = now
+        self._wall_offset = wall - now
+
+    def monotonic(self) -> float:
+        return self._now
+
+    def wall(self) -> float:
+        return self._now + self._wall_offset
+
+    def advance(self, seconds: float) -> None:
+        self._now += seconds
--- /dev/null
+++ b/src/heathermount/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a node and the fleet's declaration."""
--- /dev/null
+++ b/src/heathermount/config/settings.py
@@ -0,0 +1,256 @@
+"""Settings of one node, read from TOML and checked in full before anything starts."""
+
+import ipaddress
+from pathlib import Path
+from typing import Any, Final, Self
+
+import msgspec
+
+from heathermount.config.checking import TableChecker, load_toml
+
+__all__ = [
+    "LimitSettings",
+    "ListenSettings",
+    "NodeSettings",
+    "PeerSettings",
+    "PolicySettings",
+    "SecuritySettings",
+    "Settings",
+    "StoreSettings",
+    "TimingSettings",
+]
+
+MIN_SECRET_BYTES: Final = 16
+
+
+class NodeSettings(msgspec.Struct, kw_only=True):
+    """Who this node is."""
+
+    name: str
+    service: str
+    failure_domain: str
+    region: str = ""
+
+
+class ListenSettings(msgspec.Struct, kw_only=True):
+    """Addresses of the listeners, "ip:port"."""
+
+    callers: str
+    local: str
+    peers: str
+    control: str
+    observe: str
+
+
+class StoreSettings(msgspec.Struct, kw_only=True):
+    """Where the platform's key-value service is."""
+
+    endpoint: str
+    prefix: str = "/heathermount"
+    timeout_s: float = 1.0
+
+
+class SecuritySettings(msgspec.Struct, kw_only=True):
+    """The fleet secret, and files for mutual TLS between nodes."""
+
+    fleet_secret: str = ""
+    fleet_secret_file: str = ""
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
+    tls_authority_file: str = ""
+
+
+class PeerSettings(msgspec.Struct, kw_only=True):
+    """Control addresses of nodes to ask when the store is down at start."""
+
+    seeds: list[str] = []
+
+
+class LimitSettings(msgspec.Struct, kw_only=True):
+    """Sizes of requests and answers, in bytes."""
+
+    max_body_bytes: int = 1_048_576
+    max_header_bytes: int = 16_384
+
+
+class TimingSettings(msgspec.Struct, kw_only=True):
+    """Periods and terms, in seconds."""
+
+    heartbeat_s: float = 0.5
+    config_poll_s: float = 1.0
+    owner_term_s: float = 120.0
+    freshness_s: float = 4.0
+    shutdown_grace_s: float = 30.0
+
+
+class PolicySettings(msgspec.Struct, kw_only=True):
+    """Mechanisms that can be switched off to measure what each earns."""
+
+    early_rejection: bool = True
+    cohorts: bool = True
+    chain_retries: bool = True
+    fair_queueing: bool = True
+    adaptive_limit: bool = True
+    admission: bool = True
+
+
+class Settings:
+    """All settings of a node."""
+
+    __slots__ = (
+        "limits",
+        "listen",
+        "node",
+        "peers",
+        "policy",
+        "secret",
+        "security",
+        "store",
+        "timings",
+    )
+
+    def __init__(
+        self,
+        node: NodeSettings,
+        listen: ListenSettings,
+        store: StoreSettings,
+        security: SecuritySettings,
+        secret: bytes,
+        peers: PeerSettings | None = None,
+        limits: LimitSettings | None = None,
+        timings: TimingSettings | None = None,
+        policy: PolicySettings | None = None,
+    ) -> None:
+        self.node = node
+        self.listen = listen
+        self.store = store
+        self.security = security
+        self.secret = secret
+        self.peers = peers or PeerSettings()
+        self.limits = limits or LimitSettings()
+        self.timings = timings or TimingSettings()
+        self.policy = policy or PolicySettings()
+
+    @classmethod
+    def from_file(cls, path: str) -> Self:
+        """Read and check a settings file; raise an exception group of all problems."""
+        return cls.from_config(load_toml(path), path)
+
+    @classmethod
+    def from_config(cls, config: dict[str, Any], source: str) -> Self:
+        """Check settings that were read from `source`."""
+        checker = TableChecker(source)
+        for name in sorted(config.keys() - SECTIONS.keys()):
+            choices = ", ".join(sorted(SECTIONS))
+            checker.add(name, "is unknown", f"remove it or use: {choices}")
+        tables: dict[str, Any] = {
+            name: checker.convert(config.get(name, {}), kind, name)
+            for name, kind in SECTIONS.items()
+        }
+        check_addresses(checker, tables["listen"], tables["store"], tables["peers"])
+        check_positive(checker, "timings", tables["timings"])
+        check_positive(checker, "limits", tables["limits"])
+        secret = read_secret(checker, tables["security"], source)
+        check_tls_files(checker, tables["security"])
+        checker.finish()
+        return cls(secret=secret, **tables)
+
+
+SECTIONS: Final[dict[str, type[msgspec.Struct]]] = {
+    "node": NodeSettings,
+    "listen": ListenSettings,
+    "store": StoreSettings,
+    "security": SecuritySettings,
+    "peers": PeerSettings,
+    "limits": LimitSettings,
+    "timings": TimingSettings,
+    "policy": PolicySettings,
+}
+
+
+def is_address(address: str) -> bool:
+    """Tell whether a string is "ip:port"."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port.isdigit() and int(port) < 65536
+
+
+def check_addresses(
+    checker: TableChecker,
+    listen: ListenSettings | None,
+    store: StoreSettings | None,
+    peers: PeerSettings | None,
+) -> None:
+    addresses: dict[str, str] = {}
+    if listen is not None:
+        for name, address in msgspec.structs.asdict(listen).items():
+            addresses[f"listen.{name}"] = address
+    if store is not None:
+        addresses["store.endpoint"] = store.endpoint
+    if peers is not None:
+        addresses |= {f"peers.seeds[{i}]": a for i, a in enumerate(peers.seeds)}
+    for key, address in addresses.items():
+        if not is_address(address):
+            checker.add(
+                key, f"is {address!r}", 'write "ip:port" with an IP number, not a name'
+            )
+
+
+def check_positive(
+    checker: TableChecker, section: str, table: msgspec.Struct | None
+) -> None:
+    if table is None:
+        return
+    for name, value in msgspec.structs.asdict(table).items():
+        if value <= 0:
+            checker.add(f"{section}.{name}", f"is {value}", "set it above zero")
+
+
+def read_secret(
+    checker: TableChecker, security: SecuritySettings | None, source: str
+) -> bytes:
+    """Return the fleet secret from the settings or from its file."""
+    if security is None:
+        return b""
+    if bool(security.fleet_secret) == bool(security.fleet_secret_file):
+        checker.add(
+            "security.fleet_secret",
+            "must be set exactly once",
+            "set fleet_secret or fleet_secret_file",
+        )
+        return b""
+    secret = security.fleet_secret.encode()
+    if security.fleet_secret_file:
+        path = Path(source).parent / security.fleet_secret_file
+        try:
+            secret = path.read_bytes().strip()
+        except OSError as error:
+            checker.add(
+                "security.fleet_secret_file",
+                f"{path}: {error.strerror}",
+                "name a file that the node can read",
+            )
+            return b""
+    if len(secret) < MIN_SECRET_BYTES:
+        checker.add(
+            "security.fleet_secret",
+            f"has {len(secret)} bytes",
+            f"use at least {MIN_SECRET_BYTES} random bytes",
+        )
+    return secret
+
+
+def check_tls_files(checker: TableChecker, security: SecuritySettings | None) -> None:
+    if security is None:
+        return
+    names = ("tls_certificate_file", "tls_key_file", "tls_authority_file")
+    given = [name for name in names if getattr(security, name)]
+    if given and len(given) < len(names):
+        checker.add(
+            "security",
+            f"has only {', '.join(given)}",
+            f"set all of {', '.join(names)} or none",
+        )
--- /dev/null
+++ b/src/heathermount/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/src/heathermount/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between the system's own processes."""
--- /dev/null
+++ b/src/heathermount/wire/control.py
@@ -0,0 +1,334 @@
+"""gRPC services between nodes and the operators' tool, with a msgpack codec."""
+
+import hmac
+import secrets
+import ssl
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final, Protocol, TypeVar
+
+import msgspec
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server, Stream
+
+from heathermount.clocks import Clock
+from heathermount.errors import HeathermountError, PeerRejected, PeerUnreachable
+from heathermount.events import Event
+
+__all__ = [
+    "ConfigurationReply",
+    "ConfigurationRequest",
+    "ControlClient",
+    "ControlServer",
+    "ControlService",
+    "DrainReply",
+    "DrainRequest",
+    "HandOverReply",
+    "HandOverRequest",
+    "OwnerReply",
+    "OwnerRequest",
+    "PushReply",
+    "PushRequest",
+    "RosterReply",
+    "RosterRequest",
+    "StatusReply",
+    "StatusRequest",
+    "TimelineReply",
+    "TimelineRequest",
+]
+
+SERVICE: Final = "/heathermount.Control/"
+TOKEN_HEADER: Final = "heathermount-token"
+# Operators' machines may not be synchronised as closely as the fleet's.
+MAX_TOKEN_AGE_S: Final = 300.0
+
+
+class StatusRequest(msgspec.Struct, array_like=True):
+    """Ask for the state of one node."""
+
+
+class StatusReply(msgspec.Struct, array_like=True):
+    """State of one node."""
+
+    node: str
+    incarnation: str
+    service: str
+    failure_domain: str
+    revision: int
+    change_id: str
+    # Age of the current revision on this node, in seconds.
+    revision_age_s: float
+    fresh: bool
+    draining: bool
+    members: list[str]
+    owned: list[str]
+    violations: dict[str, int]
+
+
+class TimelineRequest(msgspec.Struct, array_like=True):
+    """Ask for the events since a time, in microseconds since the Unix epoch."""
+
+    since_us: int = 0
+
+
+class TimelineReply(msgspec.Struct, array_like=True):
+    """Recent events of one node."""
+
+    events: list[Event]
+
+
+class ConfigurationRequest(msgspec.Struct, array_like=True):
+    """Ask for the changes after a revision."""
+
+    since_revision: int
+
+
+class ConfigurationReply(msgspec.Struct, array_like=True):
+    """Encoded changes in order, or an encoded document when they are too old."""
+
+    revision: int
+    changes: list[bytes]
+    document: bytes = b""
+    confirmed_age_s: float = 1e9
+
+
+class PushRequest(msgspec.Struct, array_like=True):
+    """Give a node an accepted change, so that it need not wait for the store."""
+
+    change: bytes
+
+
+class PushReply(msgspec.Struct, array_like=True):
+    """Revision of the node after a push."""
+
+    revision: int
+
+
+class RosterRequest(msgspec.Struct, array_like=True):
+    """Ask a node for its service's roster record."""
+
+    service: str
+
+
+class RosterReply(msgspec.Struct, array_like=True):
+    """An encoded roster record; empty when the node does not have it."""
+
+    roster: bytes
+
+
+class OwnerRequest(msgspec.Struct, array_like=True):
+    """Ask the reader of the group for an ownership record, by partition name."""
+
+    partition: str
+
+
+class OwnerReply(msgspec.Struct, array_like=True):
+    """An encoded ownership record; empty when there is none."""
+
+    record: bytes
+
+
+class DrainRequest(msgspec.Struct, array_like=True):
+    """Take a node's backend server out of service, or put it back."""
+
+    draining: bool
+
+
+class DrainReply(msgspec.Struct, array_like=True):
+    """Requests that still run at the node."""
+
+    running: int
+
+
+class HandOverRequest(msgspec.Struct, array_like=True):
+    """State of a partition for its next owner, before the record is changed."""
+
+    partition: str
+    epoch: int
+    state: bytes
+
+
+class HandOverReply(msgspec.Struct, array_like=True):
+    """Whether the next owner takes the partition."""
+
+    accepted: bool
+
+
+class ControlService(Protocol):
+    """What a node answers to its peers and to operators."""
+
+    async def status(self, request: StatusRequest) -> StatusReply: ...
+
+    async def timeline(self, request: TimelineRequest) -> TimelineReply: ...
+
+    async def fetch_configuration(
+        self, request: ConfigurationRequest
+    ) -> ConfigurationReply: ...
+
+    async def push(self, request: PushRequest) -> PushReply: ...
+
+    async def fetch_roster(self, request: RosterRequest) -> RosterReply: ...
+
+    async def find_owner(self, request: OwnerRequest) -> OwnerReply: ...
+
+    async def drain(self, request: DrainRequest) -> DrainReply: ...
+
+    async def hand_over(self, request: HandOverRequest) -> HandOverReply: ...
+
+
+METHODS: Final[dict[type, tuple[str, type]]] = {
+    StatusRequest: ("status", StatusReply),
+    TimelineRequest: ("timeline", TimelineReply),
+    ConfigurationRequest: ("fetch_configuration", ConfigurationReply),
+    PushRequest: ("push", PushReply),
+    RosterRequest: ("fetch_roster", RosterReply),
+    OwnerRequest: ("find_owner", OwnerReply),
+    DrainRequest: ("drain", DrainReply),
+    HandOverRequest: ("hand_over", HandOverReply),
+}
+
+
+class MsgpackCodec(CodecBase):
+    """gRPC message codec over msgspec structs."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        return msgspec.msgpack.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        return msgspec.msgpack.decode(data, type=message_type)
+
+
+def make_token(secret: bytes, path: str, clock: Clock) -> str:
+    """Return a token that lets its bearer call `path` for a few minutes."""
+    issued = f"{int(clock.wall())}.{secrets.token_hex(8)}"
+    proof = hmac.digest(secret, f"{path} {issued}".encode(), "sha256").hex()
+    return f"{issued}.{proof}"
+
+
+def check_token(secret: bytes, path: str, clock: Clock, token: str) -> bool:
+    """Tell whether a token was made with the fleet secret for `path`."""
+    issued, _, proof = token.rpartition(".")
+    seconds = issued.partition(".")[0]
+    if not seconds.isdigit():
+        return False
+    if abs(clock.wall() - int(seconds)) > MAX_TOKEN_AGE_S:
+        return False
+    expected = hmac.digest(secret, f"{path} {issued}".encode(), "sha256").hex()
+    return hmac.compare_digest(proof, expected)
+
+
+class ControlServer:
+    """Serves a ControlService over gRPC."""
+
+    __slots__ = ("_clock", "_secret", "_server", "_service", "_tls")
+
+    def __init__(
+        self,
+        service: ControlService,
+        secret: bytes,
+        clock: Clock,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._service = service
+        self._secret = secret
+        self._clock = clock
+        self._tls = tls
+        self._server: Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        self._server = Server([self], codec=MsgpackCodec())
+        await self._server.start(host, port, ssl=self._tls, backlog=256)
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def __mapping__(self) -> Mapping[str, Handler]:
+        # The name is grpclib's interface for services.
+        return {
+            SERVICE + name: Handler(
+                self._wrap(SERVICE + name, getattr(self._service, name)),
+                Cardinality.UNARY_UNARY,
+                request_type,
+                reply_type,
+            )
+            for request_type, (name, reply_type) in METHODS.items()
+        }
+
+    def _wrap(
+        self, path: str, method: Callable[[Any], Awaitable[Any]]
+    ) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
+        async def handle(stream: Stream[Any, Any]) -> None:
+            metadata: Mapping[Any, Any] = stream.metadata or {}
+            token = str(metadata.get(TOKEN_HEADER, ""))
+            if not check_token(self._secret, path, self._clock, token):
+                raise GRPCError(Status.UNAUTHENTICATED, "use the fleet secret")
+            request = await stream.recv_message()
+            if request is None:
+                raise GRPCError(Status.INVALID_ARGUMENT, "the request is missing")
+            try:
+                reply = await method(request)
+            except HeathermountError as error:
+                raise GRPCError(Status.FAILED_PRECONDITION, str(error)) from error
+            await stream.send_message(reply)
+
+        return handle
+
+
+Reply = TypeVar("Reply")
+
+
+class ControlClient:
+    """Calls the ControlService of one node at "ip:port"."""
+
+    __slots__ = ("_channel", "_clock", "_secret", "address")
+
+    def __init__(
+        self,
+        address: str,
+        secret: bytes,
+        clock: Clock,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self._secret = secret
+        self._clock = clock
+        self._channel = Channel(host, int(port), ssl=tls, codec=MsgpackCodec())
+
+    async def call(
+        self, request: Any, reply_type: type[Reply], timeout_s: float = 2.0
+    ) -> Reply:
+        """Call the method that takes `request`.
+
+        Raises PeerUnreachable when the node cannot be reached within
+        `timeout_s` seconds and PeerRejected when it refuses the request.
+        """
+        name, _ = METHODS[type(request)]
+        path = SERVICE + name
+        method: UnaryUnaryMethod[Any, Reply] = UnaryUnaryMethod(
+            self._channel, path, type(request), reply_type
+        )
+        token = make_token(self._secret, path, self._clock)
+        try:
+            return await method(
+                request, timeout=timeout_s, metadata={TOKEN_HEADER: token}
+            )
+        except GRPCError as error:
+            if error.status in (Status.UNAVAILABLE, Status.DEADLINE_EXCEEDED):
+                raise PeerUnreachable(f"{self.address}: {error.message}") from error
+            raise PeerRejected(error.status.name, error.message or "") from error
+        except (OSError, TimeoutError) as error:
+            raise PeerUnreachable(f"{self.address}: {error!r}") from error
+        except Exception as error:
+            # grpclib raises its own connection errors (ProtocolError,
+            # StreamTerminatedError), which share no base class.
+            raise PeerUnreachable(f"{self.address}: {error!r}") from error
+
+    def close(self) -> None:
+        self._channel.close()
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,16 @@
+"""Builders of test data."""
+
+from typing import Any
+
+
+def make_settings_table(**sections: Any) -> dict[str, Any]:
+    """Return the smallest valid settings of a node, with sections replaced."""
+    table: dict[str, Any] = {
+        "node": {"name": "pantry-1", "service": "pantry", "failure_domain": "a"},
+        "listen": dict.fromkeys(
+            ("callers", "local", "peers", "control", "observe"), "127.0.0.1:0"
+        ),
+        "store": {"endpoint": "127.0.0.1:2379"},
+        "security": {"fleet_secret": "a secret of the test fleet"},
+    }
+    return table | sections
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,31 @@
+"""Settings files are checked completely before anything starts."""
+
+import pytest
+
+from builders import make_settings_table
+from heathermount.config.settings import Settings
+
+
+def test_reads_complete_settings() -> None:
+    """Guards against a valid file being refused."""
+    settings = Settings.from_config(make_settings_table(), "node.toml")
+    assert settings.node.service == "pantry"
+    assert settings.timings.heartbeat_s == 0.5
+
+
+def test_reports_all_problems_together() -> None:
+    """Guards against an operator finding problems one start at a time."""
+    table = make_settings_table()
+    table["listen"]["callers"] = "localhost:80"
+    table["node"]["colour"] = "red"
+    del table["node"]["service"]
+    table["timings"] = {"heartbeat_s": -1.0}
+    with pytest.raises(ExceptionGroup) as caught:
+        Settings.from_config(table, "node.toml")
+    keys = {problem.key for problem in caught.value.exceptions}
+    assert keys == {
+        "listen.callers",
+        "node.colour",
+        "node.service",
+        "timings.heartbeat_s",
+    }
