Add the store client, its stand-in and the configuration

Cause: nodes and the operators' tool need the platform's key-value service and one configuration that is checked in full and never goes back. Change: etcd v3 gateway client over httpcore, an in-memory store with faults (in process and as a process), declaration, documents, policy, tracker and operators' functions. A document that lost accepted changes because the store came back with older data is merged instead of replaced. The configuration itself has no tests yet. Conclusion: other packages can build on the interfaces.

--- /dev/null
+++ b/src/heathermount/config/keys.py
@@ -0,0 +1,44 @@
+"""Keys of organisations: `hm_<id>_<secret>`."""
+
+import hashlib
+import secrets
+from typing import Final, NamedTuple
+
+__all__ = ["ParsedKey", "digest_secret", "generate_key", "parse_key"]
+
+PREFIX: Final = "hm"
+ID_BYTES: Final = 6
+SECRET_BYTES: Final = 24
+# Longest key of a BLAKE2b hash.
+MAX_HASH_KEY_BYTES: Final = 64
+
+
+class ParsedKey(NamedTuple):
+    """Public identifier and secret of a key."""
+
+    key_id: str
+    secret: str
+
+
+def generate_key() -> str:
+    """Return a new key from the operating system's random source."""
+    key_id = secrets.token_hex(ID_BYTES)
+    return f"{PREFIX}_{key_id}_{secrets.token_urlsafe(SECRET_BYTES)}"
+
+
+def parse_key(key: str) -> ParsedKey | None:
+    """Split a key, or return None when it has another form."""
+    prefix, _, rest = key.partition("_")
+    key_id, _, secret = rest.partition("_")
+    if prefix != PREFIX or not key_id or not secret:
+        return None
+    return ParsedKey(key_id, secret)
+
+
+def digest_secret(secret: str, fleet_secret: bytes) -> bytes:
+    """Return the BLAKE2b hash of a key's secret, keyed with the fleet secret."""
+    hash_key = fleet_secret
+    if len(hash_key) > MAX_HASH_KEY_BYTES:
+        hash_key = hashlib.blake2b(fleet_secret).digest()
+    data = secret.encode(errors="surrogatepass")
+    return hashlib.blake2b(data, key=hash_key, digest_size=32).digest()
--- /dev/null
+++ b/src/heathermount/config/records.py
@@ -0,0 +1,95 @@
+"""Reads and writes the configuration's two records in the store."""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from heathermount.config.documents import (
+    HEAD_KEY,
+    MAX_VALUE_BYTES,
+    SNAPSHOT_KEY,
+    Change,
+    FleetDocument,
+    HeadRecord,
+    decode_head,
+    decode_snapshot,
+    encode_head,
+    encode_snapshot,
+)
+from heathermount.errors import ConfigurationProblem, StoreUnavailable
+from heathermount.store.interface import Store
+
+__all__ = [
+    "StoredDocument",
+    "StoredHead",
+    "read_document",
+    "read_head",
+    "write_document",
+]
+
+# A head and a snapshot of different revisions are read when a write comes
+# between the two reads; that is rare, and more so several times in a row.
+READ_ATTEMPTS: Final = 5
+
+
+class StoredHead(NamedTuple):
+    """The head record and its version; version 0 and no head when absent."""
+
+    head: HeadRecord | None
+    version: int
+
+
+class StoredDocument(NamedTuple):
+    """The document, its recent changes, and the head's version to compare."""
+
+    document: FleetDocument
+    recent: list[Change]
+    version: int
+
+
+async def read_head(store: Store) -> StoredHead:
+    item = await store.get(HEAD_KEY)
+    if item is None:
+        return StoredHead(None, 0)
+    return StoredHead(decode_head(item.value), item.version)
+
+
+async def read_document(store: Store) -> StoredDocument:
+    """Read head and snapshot of one revision; an empty document when absent.
+
+    Raises StoreUnavailable when the store does not answer, or changes faster
+    than the two can be read.
+    """
+    for _ in range(READ_ATTEMPTS):
+        head, version = await read_head(store)
+        if head is None:
+            return StoredDocument(FleetDocument(), [], 0)
+        item = await store.get(SNAPSHOT_KEY)
+        if item is None:
+            continue
+        document = decode_snapshot(item.value)
+        if document.change_id == head.change_id:
+            return StoredDocument(document, head.recent, version)
+    raise StoreUnavailable(
+        f"{HEAD_KEY} and {SNAPSHOT_KEY} are of different revisions; try again"
+    )
+
+
+async def write_document(
+    store: Store, document: FleetDocument, recent: Iterable[Change], version: int
+) -> bool:
+    """Write head and snapshot in one transaction that compares the head's version.
+
+    Returns False when another write came first; see Store.commit for the errors.
+    """
+    snapshot = encode_snapshot(document)
+    if len(snapshot) > MAX_VALUE_BYTES:
+        raise ConfigurationProblem(
+            SNAPSHOT_KEY,
+            "size",
+            f"is {len(snapshot)} bytes, the store takes {MAX_VALUE_BYTES}",
+            "remove routes, organisations or exceptions that are not used",
+        )
+    return await store.commit(
+        {HEAD_KEY: version},
+        {HEAD_KEY: encode_head(document, recent), SNAPSHOT_KEY: snapshot},
+    )
--- /dev/null
+++ b/src/heathermount/config/tracker.py
@@ -0,0 +1,341 @@
+"""One node's current configuration: only newer revisions, and how fresh it is."""
+
+from collections import deque
+from collections.abc import Iterable
+from typing import Final, Self
+
+import anyio
+
+from heathermount.clocks import Clock
+from heathermount.config.documents import (
+    Change,
+    FleetDocument,
+    decode_change,
+    decode_document,
+    encode_message,
+)
+from heathermount.config.merging import Branch, merge_branches
+from heathermount.config.policy import Policy
+from heathermount.config.records import read_document, read_head, write_document
+from heathermount.config.settings import Settings
+from heathermount.events import EventLog
+from heathermount.invariants import Invariants
+from heathermount.store.interface import Store
+from heathermount.wire.control import ConfigurationReply
+
+__all__ = ["NEVER_S", "ConfigTracker"]
+
+# Age of what has not happened, in seconds.
+NEVER_S: Final = 1e9
+
+CHANGES_KEPT: Final = 256
+
+# Pushed changes that wait for the change before them.
+PENDING_KEPT: Final = 64
+
+
+class ConfigTracker:
+    """Holds the document and policy of one node.
+
+    All times passed in are of the monotonic clock, from before the request
+    was sent that brought the news. `policy` is None before the first document.
+    """
+
+    __slots__ = (
+        "_adopted_at",
+        "_changed",
+        "_changes",
+        "_clock",
+        "_confirmed_at",
+        "_contacts",
+        "_domain",
+        "_events",
+        "_freshness_s",
+        "_pending",
+        "_rival",
+        "_secret",
+        "_store",
+        "document",
+        "invariants",
+        "policy",
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        events: EventLog,
+        invariants: Invariants,
+        secret: bytes,
+        failure_domain: str,
+        freshness_s: float,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._events = events
+        self._secret = secret
+        self._domain = failure_domain
+        self._freshness_s = freshness_s
+        self._changes: deque[Change] = deque(maxlen=CHANGES_KEPT)
+        self._pending: dict[str, Change] = {}
+        self._rival: FleetDocument | None = None
+        self._confirmed_at: float | None = None
+        self._contacts: dict[str, float] = {}
+        self._adopted_at = clock.monotonic()
+        self._changed = anyio.Event()
+        self.document = FleetDocument()
+        self.policy: Policy | None = None
+        self.invariants = invariants
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        store: Store,
+        clock: Clock,
+        events: EventLog,
+        invariants: Invariants | None = None,
+    ) -> Self:
+        return cls(
+            store,
+            clock,
+            events,
+            invariants or Invariants(events),
+            settings.secret,
+            settings.node.failure_domain,
+            settings.timings.freshness_s,
+        )
+
+    @property
+    def revision(self) -> int:
+        return self.document.revision
+
+    @property
+    def forked(self) -> bool:
+        """Whether a document was offered that lacks changes of this one.
+
+        `read_head` merges the two; until then nothing confirms the revision.
+        """
+        return self._rival is not None
+
+    def offer_change(self, change: Change) -> bool:
+        """Adopt a change that follows the document; return whether it did.
+
+        A change that comes before its predecessor is kept until that comes.
+        """
+        if change.revision <= self.revision:
+            return False
+        if not self.document.is_followed_by(change):
+            self._keep_pending(change)
+            return False
+        following: Change | None = change
+        while following is not None and self.document.is_followed_by(following):
+            self._adopt(self.document.apply(following), [*self._changes, following])
+            following = self._pending.pop(self.document.change_id, None)
+        return True
+
+    def offer_document(
+        self, document: FleetDocument, changes: Iterable[Change] = ()
+    ) -> bool:
+        """Adopt a newer document that contains this one; return whether it did.
+
+        `changes` are the newest of the document's changes, when at hand.
+        """
+        own = self.document
+        if own.contains(document.revision, document.change_id):
+            return False
+        if document.revision > own.revision and document.contains(
+            own.revision, own.change_id
+        ):
+            self._adopt(document, changes)
+            return True
+        if self._rival is None or document.revision >= self._rival.revision:
+            self._note_rival(document)
+        return False
+
+    def changes_since(self, revision: int) -> ConfigurationReply:
+        """Answer a peer: deltas if they are kept, else the whole document.
+
+        A peer that asks for the changes since revision 0 gets the document.
+        """
+        reply = ConfigurationReply(
+            self.revision, [], confirmed_age_s=self.confirmed_age_s()
+        )
+        if revision >= self.revision:
+            return reply
+        changes = [c for c in self._changes if c.revision > revision]
+        if revision and is_chain(changes, revision + 1, self.revision):
+            reply.changes = [encode_message(change) for change in changes]
+        else:
+            reply.document = encode_message(self.document)
+        return reply
+
+    def accept_reply(self, reply: ConfigurationReply, sent_at: float) -> bool:
+        """Adopt what a peer answered to a request that was sent at `sent_at`.
+
+        Returns False when the answer does not lead to the peer's revision: ask
+        again with revision 0 for the whole document.
+        """
+        for encoded in reply.changes:
+            self.offer_change(decode_change(encoded))
+        if reply.document:
+            self.offer_document(decode_document(reply.document))
+        if self.revision < reply.revision:
+            return False
+        self.confirm(sent_at - reply.confirmed_age_s)
+        return True
+
+    async def read_head(self) -> None:
+        """Catch up with the store, or bring the store up to this document.
+
+        Raises StoreUnavailable and, when a write's answer was lost,
+        StoreOutcomeUnknown; the next call finds out what happened.
+        """
+        sent_at = self._clock.monotonic()
+        head, version = await read_head(self._store)
+        if head is None:
+            await self._write_back(version)
+            return
+        if head.revision > self.revision:
+            for change in head.recent:
+                self.offer_change(change)
+        if not self.forked:
+            if head.change_id == self.document.change_id:
+                self.confirm(sent_at)
+                return
+            if self.document.contains(head.revision, head.change_id):
+                await self._write_back(version)
+                return
+        await self._read_snapshot(sent_at)
+
+    async def _read_snapshot(self, sent_at: float) -> None:
+        stored = await read_document(self._store)
+        if stored.version == 0:
+            return
+        branch = Branch(stored.document, stored.recent)
+        merged = merge_branches(Branch(self.document, list(self._changes)), branch)
+        if self._rival is not None:
+            merged = merge_branches(merged, Branch(self._rival, []))
+        if merged.document.change_id != stored.document.change_id:
+            written = await write_document(
+                self._store, merged.document, (), stored.version
+            )
+            if not written:
+                return
+            self._events.record(
+                "configuration-merged",
+                revision=merged.document.revision,
+                stored_revision=stored.document.revision,
+            )
+        self.offer_document(merged.document, merged.changes)
+        if self.document.change_id == merged.document.change_id:
+            self.confirm(sent_at)
+
+    async def _write_back(self, version: int) -> None:
+        """Replace the store's older document; the next read confirms it."""
+        document = self.document
+        if not document.revision:
+            return
+        written = await write_document(
+            self._store, document, list(self._changes), version
+        )
+        if written:
+            self._events.record(
+                "configuration-written-back",
+                revision=document.revision,
+                change=document.change_id,
+            )
+
+    def confirm(self, at: float) -> None:
+        """Note that the store held this revision at a time."""
+        if self.forked or not self.revision:
+            return
+        if self._confirmed_at is None or at > self._confirmed_at:
+            self._confirmed_at = at
+
+    def confirmed_age_s(self) -> float:
+        """Return the seconds since the store last confirmed the revision."""
+        if self._confirmed_at is None:
+            return NEVER_S
+        return self._clock.monotonic() - self._confirmed_at
+
+    def contact(self, domain: str, at: float) -> None:
+        """Note that a member in a failure domain answered a request sent at a time."""
+        self._contacts[domain] = max(at, self._contacts.get(domain, at))
+
+    def domain_ages_s(self) -> dict[str, float]:
+        """Return the seconds since the last contact with each failure domain."""
+        now = self._clock.monotonic()
+        ages = {domain: now - at for domain, at in self._contacts.items()}
+        return ages | {self._domain: 0.0}
+
+    def fresh(self) -> bool:
+        """Tell whether no withdrawal of a key can have been missed (section 9)."""
+        if self.policy is None:
+            return False
+        if self.confirmed_age_s() < self._freshness_s:
+            return True
+        ages = self.domain_ages_s()
+        domains = self.policy.failure_domains
+        near = [d for d in domains if ages.get(d, NEVER_S) < self._freshness_s]
+        return 2 * len(near) > len(domains)
+
+    async def wait_changed(self, after_revision: int) -> int:
+        """Wait until the revision is above `after_revision`; return it."""
+        while self.revision <= after_revision:
+            await self._changed.wait()
+        return self.revision
+
+    def revision_age_s(self) -> float:
+        """Return the seconds since this node adopted its revision."""
+        return self._clock.monotonic() - self._adopted_at
+
+    def _keep_pending(self, change: Change) -> None:
+        self._pending[change.parent_id] = change
+        while len(self._pending) > PENDING_KEPT:
+            del self._pending[next(iter(self._pending))]
+
+    def _note_rival(self, document: FleetDocument) -> None:
+        if self._rival is None or self._rival.change_id != document.change_id:
+            self._events.record(
+                "configuration-forked",
+                revision=self.revision,
+                rival_revision=document.revision,
+                rival_change=document.change_id,
+            )
+        self._rival = document
+
+    def _adopt(self, document: FleetDocument, changes: Iterable[Change]) -> None:
+        increases = self.invariants.check(
+            document.revision > self.revision,
+            "configuration-revision-increases",
+            current=self.revision,
+            offered=document.revision,
+        )
+        if not increases:
+            return
+        self.policy = Policy.from_config(document, self._secret)
+        self.document = document
+        self._changes = deque(changes, maxlen=CHANGES_KEPT)
+        self._pending = {
+            parent: change
+            for parent, change in self._pending.items()
+            if change.revision > document.revision
+        }
+        rival = self._rival
+        if rival and document.contains(rival.revision, rival.change_id):
+            self._rival = None
+        self._adopted_at = self._clock.monotonic()
+        self._events.record(
+            "configuration-adopted",
+            revision=document.revision,
+            change=document.change_id,
+        )
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+def is_chain(changes: list[Change], first: int, last: int) -> bool:
+    """Tell whether the changes are consecutive from one revision to another."""
+    revisions = [change.revision for change in changes]
+    return revisions == list(range(first, last + 1))
--- /dev/null
+++ b/src/heathermount/standins/store.py
@@ -0,0 +1,113 @@
+"""Stand-in of the key-value service: an in-process client and a process."""
+
+import sys
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import anyio
+import uvicorn
+from absl import app, flags
+
+from heathermount.clocks import SystemClock
+from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
+from heathermount.standins.store_gateway import StoreGateway
+from heathermount.standins.store_state import (
+    Compare,
+    StoreFaults,
+    StoreSnapshot,
+    StoreState,
+)
+from heathermount.store.interface import Versioned
+
+__all__ = ["FakeStore", "StoreFaults", "StoreGateway", "StoreSnapshot", "StoreState"]
+
+
+class FakeStore:
+    """In-process client over a StoreState that honours its faults; see Store."""
+
+    __slots__ = ("_prefix", "_sleep", "_timeout_s", "state")
+
+    def __init__(
+        self,
+        state: StoreState,
+        prefix: str = "/heathermount",
+        timeout_s: float = 1.0,
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+    ) -> None:
+        self.state = state
+        self._prefix = prefix.rstrip("/") + "/"
+        self._timeout_s = timeout_s
+        self._sleep = sleep
+
+    async def get(self, key: str) -> Versioned | None:
+        name = self._encode(key)
+        await self._read()
+        item = self.state.read(name).get(name)
+        return None if item is None else Versioned(item.value, item.modified)
+
+    async def get_prefix(self, prefix: str) -> dict[str, Versioned]:
+        start = self._encode(prefix)
+        end = start[:-1] + bytes([start[-1] + 1])
+        await self._read()
+        return {
+            name.decode().removeprefix(self._prefix): Versioned(
+                item.value, item.modified
+            )
+            for name, item in self.state.read(start, end).items()
+        }
+
+    async def commit(
+        self, compares: dict[str, int], writes: dict[str, bytes | None]
+    ) -> bool:
+        self.state.admit("txn")
+        late = await self._delay()
+        conditions = [
+            Compare(self._encode(key), "mod", "EQUAL", version)
+            for key, version in compares.items()
+        ]
+        encoded = {self._encode(key): value for key, value in writes.items()}
+        succeeded = self.state.transact(conditions, encoded)
+        if self.state.loses_answer() or late:
+            raise StoreOutcomeUnknown("the store's answer was lost; read back")
+        return succeeded
+
+    async def _read(self) -> None:
+        self.state.admit("range")
+        if await self._delay():
+            raise StoreUnavailable("the store did not answer in time")
+
+    async def _delay(self) -> bool:
+        """Wait for the store's delay; return True when it exceeds the timeout."""
+        delay_s = self.state.faults.delay_s
+        if delay_s:
+            await self._sleep(min(delay_s, self._timeout_s))
+        return delay_s >= self._timeout_s
+
+    def _encode(self, key: str) -> bytes:
+        return (self._prefix + key).encode()
+
+
+def define_flags() -> None:
+    """Define the process's flags, which are global to absl."""
+    flags.DEFINE_string("listen", "127.0.0.1:2379", "Gateway address, as ip:port.")
+    flags.DEFINE_integer("seed", 1, "Seed of the random faults.")
+
+
+def main(argv: list[str]) -> None:
+    """Serve the gateway until the process is told to stop."""
+    host, _, port = flags.FLAGS.listen.rpartition(":")
+    gateway = StoreGateway(StoreState(SystemClock(), Random(flags.FLAGS.seed)))
+    config = uvicorn.Config(
+        gateway,
+        host=host,
+        port=int(port),
+        lifespan="off",
+        log_level="warning",
+        timeout_graceful_shutdown=1,
+    )
+    uvicorn.Server(config).run()
+
+
+if __name__ == "__main__":
+    define_flags()
+    app.run(main, argv=sys.argv)
--- a/src/heathermount/store/__init__.py
+++ b/src/heathermount/store/__init__.py
@@ -1,1 +1,13 @@
-"""Placeholder."""
+"""Client of the platform's key-value service."""
+
+from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
+from heathermount.store.etcd import EtcdStore
+from heathermount.store.interface import Store, Versioned
+
+__all__ = [
+    "EtcdStore",
+    "Store",
+    "StoreOutcomeUnknown",
+    "StoreUnavailable",
+    "Versioned",
+]
