--- /dev/null
+++ b/src/heathermount/ownership/handover.py
@@ -0,0 +1,135 @@
+"""Planned change of an owner: stop, send the state, name the successor."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import msgspec
+
+from heathermount.errors import (
+    HeathermountError,
+    InvalidMessage,
+    PeerError,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from heathermount.ownership.lease import Partition
+from heathermount.ownership.records import (
+    NodeIdentity,
+    OwnerRecord,
+    PartitionStore,
+    decode_record,
+    encode_record,
+    make_key,
+    rank_candidates,
+)
+from heathermount.ownership.watch import HandOver, PartitionHost
+
+__all__ = ["Handover"]
+
+# Successors tried, so that a stop does not wait for many unreachable nodes.
+MAX_SUCCESSORS: Final = 3
+WRITE_ATTEMPTS: Final = 15
+WRITE_RETRY_S: Final = 0.2
+
+
+class Handover:
+    """Hands partitions of one process over.
+
+    The owner stops deciding before it takes the state, and once a successor
+    may have received the state it never decides again: the successor may use
+    that state after the owner's end even if the record was not written.
+    """
+
+    __slots__ = ("_host", "_identity", "_sleep", "_store")
+
+    def __init__(
+        self,
+        store: PartitionStore,
+        host: PartitionHost,
+        identity: NodeIdentity,
+        sleep: Callable[[float], Awaitable[None]],
+    ) -> None:
+        self._store = store
+        self._host = host
+        self._identity = identity
+        self._sleep = sleep
+
+    async def run(
+        self, partition: Partition, hand_over: HandOver
+    ) -> OwnerRecord | None:
+        """Hand one partition over and return its next record.
+
+        The partition is left active if certainly nobody received its state,
+        otherwise frozen.
+        """
+        if partition.ended or partition.frozen:
+            return None
+        partition.freeze()
+        state = self._host.dump(partition.name)
+        received = False
+        for successor in self._successors(partition.name):
+            accepted = await self._send(partition, state, successor, hand_over)
+            if accepted is not False:
+                received = True
+            if accepted:
+                return await self._appoint(partition, successor)
+        if not received:
+            partition.resume()
+        return None
+
+    def _successors(self, name: str) -> list[NodeIdentity]:
+        nodes = rank_candidates(name, self._host.candidates(name))
+        others = [node for node in nodes if node != self._identity.node]
+        located = (self._host.locate(node) for node in others[:MAX_SUCCESSORS])
+        return [identity for identity in located if identity is not None]
+
+    async def _send(
+        self,
+        partition: Partition,
+        state: bytes,
+        successor: NodeIdentity,
+        hand_over: HandOver,
+    ) -> bool | None:
+        """Return whether the successor has the state; None when not known."""
+        try:
+            return await hand_over(successor, partition.name, partition.epoch, state)
+        except PeerError as error:
+            return None if error.sent else False
+        except HeathermountError:
+            return None
+
+    async def _appoint(
+        self, partition: Partition, successor: NodeIdentity
+    ) -> OwnerRecord | None:
+        """Write the successor's record; None if another node took the partition."""
+        record = msgspec.structs.replace(
+            partition.record,
+            node=successor.node,
+            incarnation=successor.incarnation,
+            address=successor.address,
+            control=successor.control,
+            epoch=partition.epoch + 1,
+        )
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                written = await self._replace(partition.record, record)
+            except (StoreUnavailable, StoreOutcomeUnknown, InvalidMessage):
+                await self._sleep(WRITE_RETRY_S)
+                continue
+            if written is not None:
+                return record if written else None
+        return None
+
+    async def _replace(self, current: OwnerRecord, record: OwnerRecord) -> bool | None:
+        """Return whether the record is written; None when it must be tried again."""
+        key = make_key(current.partition)
+        value = await self._store.get(key)
+        if value is None:
+            return False
+        stored = decode_record(value.value)
+        if stored != current:
+            return stored == record
+        done = await self._store.commit(
+            {key: value.version}, {key: encode_record(record)}
+        )
+        return True if done else None
