--- /dev/null
+++ b/src/heathermount/routing/balancer.py
@@ -0,0 +1,280 @@
+"""Choice of the server that runs a call."""
+
+from collections.abc import Container, Sequence
+from random import Random
+from typing import Final
+
+from heathermount.clocks import Clock
+from heathermount.errors import Refusal
+from heathermount.routing.members import Member
+from heathermount.values import Load, Outcome, Reason
+
+__all__ = ["Balancer", "NoServer"]
+
+# Consecutive failures after which a server is ejected. Fewer would eject it
+# for one lost connection that carried several calls at once on a small group.
+EJECT_AFTER: Final = 5
+
+# First and longest time of an ejection, in seconds; doubled each time.
+FIRST_BACKOFF_S: Final = 1.0
+MAX_BACKOFF_S: Final = 30.0
+
+# A reported load loses half of its weight in this time, in seconds, because
+# the requests it counted finish meanwhile.
+LOAD_HALF_LIFE_S: Final = 0.25
+
+# Share of its limit at which a server has no more room for local preference.
+ROOM: Final = 1.0
+
+# Share of its limit that a cold server is given at first.
+COLD_SHARE: Final = 0.1
+
+NO_SERVER_RETRY_S: Final = 1.0
+
+
+class NoServer(Refusal):
+    """No server of the service may be tried."""
+
+    def __init__(self, service: str) -> None:
+        super().__init__(
+            503,
+            Reason.NO_SERVER,
+            Outcome.NOT_RUN,
+            f"no server of {service} is available; send the request again later",
+            NO_SERVER_RETRY_S,
+        )
+
+
+class ServerState:
+    """Statistics of one server incarnation."""
+
+    __slots__ = (
+        "backoff_s",
+        "ejected_until",
+        "failures",
+        "limit",
+        "member",
+        "others",
+        "outstanding",
+        "reported_at",
+        "service",
+    )
+
+    def __init__(self, service: str, member: Member, now: float) -> None:
+        self.service = service
+        self.member = member
+        self.outstanding = 0
+        self.failures = 0
+        self.backoff_s = 0.0
+        self.ejected_until = float("-inf")
+        self.limit = max(1, member.slots)
+        # Requests of other nodes in the last load report, and its time.
+        self.others = 0.0
+        self.reported_at = now
+
+    def report(self, load: Load, now: float) -> None:
+        self.limit = max(1, load.limit)
+        self.others = float(max(0, load.running + load.queued - self.outstanding))
+        self.reported_at = now
+
+    def score(self, now: float, wall: float) -> float:
+        """Return requests over limit if one more were sent."""
+        age_s = now - self.reported_at
+        busy = self.outstanding + 1
+        others = self.others
+        if others:
+            busy += others * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
+        return busy / (self.limit * self.warmth(wall))
+
+    def warmth(self, wall: float) -> float:
+        """Return the share of the limit that a server may use since it joined."""
+        cold_start_s = self.member.cold_start_s
+        if cold_start_s <= 0.0:
+            return 1.0
+        warm = (wall - self.member.joined_at) / cold_start_s
+        return COLD_SHARE + (1.0 - COLD_SHARE) * min(1.0, max(0.0, warm))
+
+
+class Group:
+    """Servers of one service that may be chosen now."""
+
+    __slots__ = ("available", "local", "next_change", "states")
+
+    def __init__(self) -> None:
+        self.states: list[ServerState] = []
+        self.available: list[ServerState] = []
+        self.local: list[ServerState] = []
+        self.next_change = float("inf")
+
+
+class Balancer:
+    """Chooses servers by two random candidates.
+
+    The better one has fewer requests over its limit: this node's outstanding
+    ones plus those of other nodes in its last load report, aged. A report
+    counts running requests as well as queued ones, because below saturation
+    no queue shows which server is less busy.
+    """
+
+    __slots__ = ("_clock", "_domain", "_groups", "_random", "_states")
+
+    def __init__(self, clock: Clock, random: Random, failure_domain: str) -> None:
+        self._clock = clock
+        self._random = random
+        self._domain = failure_domain
+        self._groups: dict[str, Group] = {}
+        self._states: dict[tuple[str, str], ServerState] = {}
+
+    def update(self, service: str, members: Sequence[Member]) -> None:
+        """Replace the members of a service; known incarnations keep statistics."""
+        now = self._clock.monotonic()
+        group = self._groups.setdefault(service, Group())
+        former = {state_key(state.member): state for state in group.states}
+        group.states = []
+        for member in members:
+            state = former.pop(state_key(member), None)
+            if state is None:
+                state = ServerState(service, member, now)
+                self._states[state_key(member)] = state
+            state.member = member
+            group.states.append(state)
+        for key in former:
+            del self._states[key]
+        self._rebuild(group, now)
+
+    def members(self, service: str) -> list[Member]:
+        group = self._groups.get(service)
+        return [state.member for state in group.states] if group else []
+
+    def choose(self, service: str, tried: Container[str] = ()) -> Member:
+        """Return a server whose node was not tried yet; raise NoServer if none."""
+        group = self._groups.get(service)
+        if group is None:
+            raise NoServer(service)
+        now = self._clock.monotonic()
+        if now >= group.next_change:
+            self._rebuild(group, now)
+        wall = self._clock.wall()
+        if group.local:
+            state, score = self._better(group.local, tried, now, wall)
+            if state is not None and score <= ROOM:
+                return state.member
+        state, _ = self._better(group.available, tried, now, wall)
+        if state is None:
+            state = self._last_resort(group, tried)
+        if state is None:
+            raise NoServer(service)
+        return state.member
+
+    def started(self, member: Member) -> None:
+        """Count a request that was sent to a server."""
+        state = self._states.get(state_key(member))
+        if state is not None:
+            state.outstanding += 1
+
+    def finished(self, member: Member, success: bool, load: Load | None = None) -> None:
+        """Count an answer.
+
+        `success` is false when the server or its node failed; a refusal by an
+        overloaded server is a success, its load keeps further calls away.
+        """
+        state = self._states.get(state_key(member))
+        if state is None:
+            return
+        now = self._clock.monotonic()
+        state.outstanding = max(0, state.outstanding - 1)
+        if load is not None:
+            state.report(load, now)
+        if success:
+            self._succeeded(state, now)
+        else:
+            self._failed(state, now)
+
+    def report(self, member: Member, load: Load) -> None:
+        """Take a load report that came without an answer."""
+        state = self._states.get(state_key(member))
+        if state is not None:
+            state.report(load, self._clock.monotonic())
+
+    def ejected(self, service: str) -> list[str]:
+        """Return the nodes of a service that get no calls because of failures."""
+        group = self._groups.get(service)
+        if group is None:
+            return []
+        available = {id(state) for state in group.available}
+        return [
+            state.member.node
+            for state in group.states
+            if not state.member.draining and id(state) not in available
+        ]
+
+    def _better(
+        self,
+        states: list[ServerState],
+        tried: Container[str],
+        now: float,
+        wall: float,
+    ) -> tuple[ServerState | None, float]:
+        if tried:
+            states = [state for state in states if state.member.node not in tried]
+        count = len(states)
+        if count == 0:
+            return None, 0.0
+        # `random()` is several times faster than `sample()`.
+        first = int(self._random.random() * count)
+        state = states[first]
+        score = state.score(now, wall)
+        if count > 1:
+            second = int(self._random.random() * (count - 1))
+            other = states[second if second < first else second + 1]
+            other_score = other.score(now, wall)
+            if other_score < score:
+                return other, other_score
+        return state, score
+
+    def _last_resort(self, group: Group, tried: Container[str]) -> ServerState | None:
+        """Return the ejected server that would come back first."""
+        choices = [
+            state
+            for state in group.states
+            if not state.member.draining and state.member.node not in tried
+        ]
+        return min(choices, key=lambda state: state.ejected_until, default=None)
+
+    def _succeeded(self, state: ServerState, now: float) -> None:
+        state.failures = 0
+        state.backoff_s = 0.0
+        if state.ejected_until > now:
+            state.ejected_until = now
+            self._rebuild(self._groups[state.service], now)
+
+    def _failed(self, state: ServerState, now: float) -> None:
+        state.failures += 1
+        if state.ejected_until > now:
+            # Calls sent before the ejection still fail.
+            return
+        if state.failures < EJECT_AFTER and state.backoff_s == 0.0:
+            return
+        backoff_s = min(MAX_BACKOFF_S, max(FIRST_BACKOFF_S, 2 * state.backoff_s))
+        state.backoff_s = backoff_s
+        state.ejected_until = now + backoff_s * self._random.uniform(0.8, 1.2)
+        self._rebuild(self._groups[state.service], now)
+
+    def _rebuild(self, group: Group, now: float) -> None:
+        active = [state for state in group.states if not state.member.draining]
+        ejected = [state for state in active if state.ejected_until > now]
+        # Most recently failed ones stay out when they exceed half of the group.
+        ejected.sort(key=lambda state: -state.ejected_until)
+        out = {id(state) for state in ejected[: len(active) // 2]}
+        group.available = [state for state in active if id(state) not in out]
+        group.local = [
+            state
+            for state in group.available
+            if state.member.failure_domain == self._domain
+        ]
+        times = [state.ejected_until for state in ejected]
+        group.next_change = min(times, default=float("inf"))
+
+
+def state_key(member: Member) -> tuple[str, str]:
+    return member.node, member.incarnation
--- /dev/null
+++ b/src/heathermount/routing/members.py
@@ -0,0 +1,22 @@
+"""Members of a service's group, as the balancer sees them."""
+
+import msgspec
+
+__all__ = ["Member"]
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One node with its backend server.
+
+    `peers` is the address of the framed links. `joined_at` is in seconds since
+    the Unix epoch, because other nodes read it.
+    """
+
+    node: str
+    incarnation: str
+    peers: str
+    failure_domain: str
+    slots: int
+    cold_start_s: float = 0.0
+    joined_at: float = 0.0
+    draining: bool = False
