--- /dev/null
+++ b/src/heathermount/standins/backend.py
@@ -0,0 +1,254 @@
+"""Process of one or several backend server stand-ins.
+
+Run as `python -m heathermount.standins.backend --config=FILE`.
+"""
+
+import os
+import signal
+import socket
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from random import Random
+from typing import BinaryIO, Final
+
+import anyio
+import msgspec
+import uvicorn
+import uvloop
+from absl import flags, logging
+
+from heathermount.clocks import Clock, SystemClock
+from heathermount.standins.commandline import make_flag_values, require_flag
+from heathermount.standins.connections import RequestBroken, RequestNotSent
+from heathermount.standins.descriptions import BackendSettings, ServerDescription
+from heathermount.standins.serving import HEALTH_PATH, LOAD_PATH, BackendServer
+
+__all__ = ["ServerHost", "main", "run", "serve_backends"]
+
+ANNOUNCE_PATH: Final = "/heathermount/v1/announce"
+DRAIN_PATH: Final = "/heathermount/v1/drain"
+
+# Pause between two attempts of the first announcement.
+RETRY_S: Final = 0.3
+CALL_TIMEOUT_S: Final = 2.0
+CRASH_EXIT_CODE: Final = 70
+
+
+class QuietServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to its process."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class ServerHost:
+    """Listens for a backend server, announces it and restarts it after a crash."""
+
+    __slots__ = ("_http", "_listening", "_port", "_stopping", "description", "server")
+
+    def __init__(
+        self,
+        description: ServerDescription,
+        clock: Clock,
+        random: Random,
+        record_file: BinaryIO | None = None,
+    ) -> None:
+        self.description = description
+        self.server = BackendServer(description, clock, random, record_file)
+        self.server.on_crash = self._break_connections
+        self._http: QuietServer | None = None
+        self._port = int(description.listen.rpartition(":")[2])
+        self._stopping = False
+        self._listening = anyio.Event()
+
+    @property
+    def address(self) -> str:
+        """Address of the listener; known once `wait_listening` returned."""
+        return f"{self.description.listen.rpartition(':')[0]}:{self._port}"
+
+    async def wait_listening(self) -> None:
+        await self._listening.wait()
+
+    async def run(self) -> None:
+        """Serve until cancelled or stopped."""
+        async with anyio.create_task_group() as group:
+            if self.description.node:
+                group.start_soon(self._announce_repeatedly)
+            await self._listen_repeatedly()
+            group.cancel_scope.cancel()
+
+    async def stop(self, grace_s: float) -> None:
+        """Drain at the node, wait for running requests, withdraw and close."""
+        self.server.draining = True
+        with anyio.move_on_after(grace_s):
+            await self._drain_node()
+            await self.server.wait_idle()
+        await self._call_node("DELETE", ANNOUNCE_PATH)
+        self._stopping = True
+        if self._http is not None:
+            self._http.should_exit = True
+
+    async def _listen_repeatedly(self) -> None:
+        while True:
+            listener = self._bind()
+            self._http = make_http_server(self.server, self.description)
+            self._listening.set()
+            await self._http.serve(sockets=[listener])
+            if self._stopping or not self.server.down:
+                return
+            logging.info("event=server-down server=%s", self.description.name)
+            await anyio.sleep(self.description.crash_s)
+            self.server.start()
+
+    def _bind(self) -> socket.socket:
+        host = self.description.listen.rpartition(":")[0]
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, self._port))
+        self._port = listener.getsockname()[1]
+        return listener
+
+    def _break_connections(self) -> None:
+        """Act as a crashed process: reset every connection and stop listening."""
+        if self.description.crash == "exit":
+            os._exit(CRASH_EXIT_CODE)
+        assert self._http is not None
+        for listener in self._http.servers:
+            listener.close()
+        for connection in list(self._http.server_state.connections):
+            connection.transport.abort()
+        self._http.force_exit = True
+        self._http.should_exit = True
+
+    async def _announce_repeatedly(self) -> None:
+        await self._listening.wait()
+        while True:
+            known = True
+            if not self.server.down and not self.server.draining:
+                known = await self._call_node(
+                    "POST", ANNOUNCE_PATH, self._announcement()
+                )
+            await anyio.sleep(self.description.announce_s if known else RETRY_S)
+
+    def _announcement(self) -> bytes:
+        return msgspec.json.encode(
+            {
+                "address": self.address,
+                "slots": self.description.slots,
+                "connections": self.description.connections,
+                "cold_start_s": self.description.cold_start_s,
+                "health_path": HEALTH_PATH,
+                "load_path": LOAD_PATH,
+            }
+        )
+
+    async def _drain_node(self) -> None:
+        """Ask the node to drain and wait until nothing runs; a lost node ends it."""
+        if not await self._call_node("POST", DRAIN_PATH):
+            return
+        while True:
+            if not await self._running_at_node():
+                return
+            await anyio.sleep(0.1)
+
+    async def _running_at_node(self) -> int:
+        assert self.server.local is not None
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_S):
+                answer = await self.server.local.request("GET", DRAIN_PATH)
+            status = msgspec.json.decode(answer.body)
+            return int(status["running"])
+        except (
+            RequestNotSent,
+            RequestBroken,
+            TimeoutError,
+            msgspec.DecodeError,
+            KeyError,
+        ):
+            return 0
+
+    async def _call_node(self, method: str, path: str, body: bytes = b"") -> bool:
+        """Call the node's local listener; return whether it accepted."""
+        if self.server.local is None:
+            return False
+        headers = [(b"content-type", b"application/json")]
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_S):
+                answer = await self.server.local.request(method, path, headers, body)
+        except (RequestNotSent, RequestBroken, TimeoutError):
+            return False
+        return 200 <= answer.status < 300
+
+
+def make_http_server(
+    server: BackendServer, description: ServerDescription
+) -> QuietServer:
+    config = uvicorn.Config(
+        server,
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        # A truncated answer is an error to uvicorn and intended here.
+        log_level="critical",
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=60,
+        timeout_graceful_shutdown=1,
+        backlog=description.connections,
+    )
+    return QuietServer(config)
+
+
+async def serve_backends(settings: BackendSettings, clock: Clock) -> None:
+    """Run the servers of one process until SIGTERM or SIGINT."""
+    with ExitStack() as stack:
+        record_file: BinaryIO | None = None
+        if settings.record_file:
+            # Unbuffered: a killed process leaves all its records.
+            record_file = stack.enter_context(
+                open(settings.record_file, "ab", buffering=0)  # noqa: ASYNC230
+            )
+        hosts = [
+            ServerHost(
+                server, clock, Random(f"{settings.seed}/{server.name}"), record_file
+            )
+            for server in settings.servers
+        ]
+        async with anyio.create_task_group() as group:
+            group.start_soon(stop_on_signal, hosts, settings.grace_s)
+            async with anyio.create_task_group() as listeners:
+                for host in hosts:
+                    listeners.start_soon(host.run)
+            group.cancel_scope.cancel()
+
+
+async def stop_on_signal(hosts: list[ServerHost], grace_s: float) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for number in received:
+            logging.info("event=backend-stopping signal=%s", number.name)
+            break
+    async with anyio.create_task_group() as group:
+        for host in hosts:
+            group.start_soon(host.stop, grace_s)
+
+
+def main(arguments: list[str]) -> None:
+    """Read the flags and run."""
+    values = make_flag_values()
+    flags.DEFINE_string("config", None, "Settings file (TOML).", flag_values=values)
+    require_flag("config", values)
+    values(arguments)
+    settings = BackendSettings.from_file(values.config)
+    uvloop.run(serve_backends(settings, SystemClock()))
+
+
+def run() -> None:
+    """Entry point of the command."""
+    main(sys.argv)
+
+
+if __name__ == "__main__":
+    run()
