Add the fleet runner

A run needs a store, backend servers and one node for each of them on loopback, with kills, pauses and restarts by process id. Ports are chosen by the system and stay bound, so that a restarted process finds its address free.

--- /dev/null
+++ b/src/heathermount/standins/fleet.py
@@ -0,0 +1,436 @@
+"""Runs a fleet of plain processes on loopback from a description."""
+
+import atexit
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Final, Self
+
+import anyio
+import msgspec
+import tomli_w
+from prometheus_client.parser import text_string_to_metric_families
+
+from heathermount.clocks import Clock, SystemClock
+from heathermount.events import Event, EventLog, merge_events
+from heathermount.standins.connections import (
+    Connections,
+    HttpAnswer,
+    RequestBroken,
+    RequestNotSent,
+)
+from heathermount.standins.descriptions import ServerDescription
+from heathermount.standins.fleets import (
+    FleetDescription,
+    ServiceDescription,
+    make_declaration,
+)
+from heathermount.standins.operators import Operator, StoreOperator
+from heathermount.standins.processes import ManagedProcess, PortReservation
+from heathermount.standins.records import RunRecord, read_run_records
+
+__all__ = ["Fleet", "FleetNotReady", "Member"]
+
+SECRET: Final = "secret of a fleet on loopback"
+AUTHOR: Final = "fleet-runner"
+CALL_TIMEOUT_S: Final = 2.0
+POLL_S: Final = 0.1
+VIOLATIONS_METRIC: Final = "heathermount_invariant_violations"
+VIOLATION_EVENT: Final = "event=invariant-violated "
+
+MakeOperator = Callable[[str, bytes], Operator]
+
+
+class FleetNotReady(Exception):
+    """Processes did not become ready; read the named logs."""
+
+
+class Member(msgspec.Struct, kw_only=True):
+    """A backend server, its node and their addresses."""
+
+    name: str
+    service: str
+    failure_domain: str
+    server: str
+    callers: str
+    local: str
+    peers: str
+    control: str
+    observe: str
+    # Name of the process that hosts the backend server.
+    backend: str = ""
+
+
+class Fleet:
+    """Async context manager: starts all processes and always ends them.
+
+    `overrides` replaces fields in sections of every node's settings.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_collected",
+        "_directory",
+        "_make_operator",
+        "_overrides",
+        "_ports",
+        "_seed",
+        "declaration",
+        "description",
+        "events",
+        "keys",
+        "members",
+        "operator",
+        "processes",
+        "store_address",
+    )
+
+    def __init__(
+        self,
+        description: FleetDescription,
+        seed: int = 1,
+        overrides: dict[str, dict[str, Any]] | None = None,
+        clock: Clock | None = None,
+        make_operator: MakeOperator = StoreOperator,
+    ) -> None:
+        self.description = description
+        self.declaration = make_declaration(description)
+        self.members: dict[str, Member] = {}
+        self.processes: dict[str, ManagedProcess] = {}
+        # Key of each organisation.
+        self.keys: dict[str, str] = {}
+        self.store_address = ""
+        self._seed = seed
+        self._overrides = overrides or {}
+        self._clock = clock or SystemClock()
+        self._make_operator = make_operator
+        self._ports = PortReservation()
+        self._directory = tempfile.TemporaryDirectory(prefix="heathermount-")
+        self._collected: list[list[Event]] = []
+        self.events = EventLog("fleet", self._clock, quiet=True)
+        self.operator: Operator | None = None
+
+    @property
+    def directory(self) -> Path:
+        """Temporary directory of settings, logs and records."""
+        return Path(self._directory.name)
+
+    async def __aenter__(self) -> Self:
+        atexit.register(self.end_processes)
+        try:
+            await self.start()
+        except BaseException:
+            self._close()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._close()
+
+    def _close(self) -> None:
+        self.end_processes()
+        self._ports.close()
+        self._directory.cleanup()
+        atexit.unregister(self.end_processes)
+
+    def end_processes(self) -> None:
+        """Kill every process that still runs."""
+        for process in self.processes.values():
+            process.kill()
+
+    # Start
+
+    async def start(self) -> None:
+        """Start all processes, configure the fleet and wait until it is ready."""
+        self._describe_processes()
+        self.processes["store"].start()
+        await self._wait_for_store()
+        await self.configure()
+        for name, process in self.processes.items():
+            if name != "store":
+                process.start()
+        await self.wait_ready(self.members)
+        self.events.record("fleet-ready", nodes=len(self.members))
+
+    async def configure(self) -> None:
+        """Apply the declaration and add one key for each organisation."""
+        self.operator = self._make_operator(self.store_address, SECRET.encode())
+        await self.operator.apply(self.declaration, AUTHOR, "first declaration")
+        for organisation in self.description.organisations:
+            self.keys[organisation.name] = await self.operator.add_key(
+                organisation.name, AUTHOR
+            )
+
+    def _describe_processes(self) -> None:
+        self.store_address = self._ports.reserve()
+        self._add_process(
+            "store", "heathermount.standins.store", f"--listen={self.store_address}"
+        )
+        servers: list[ServerDescription] = []
+        for service in self.description.services:
+            for number in range(service.servers):
+                member = self._make_member(service, number)
+                self.members[member.name] = member
+                servers.append(make_server(service, member))
+        self._describe_backends(servers)
+        for member in self.members.values():
+            path = self._write(f"{member.name}.toml", self._node_settings(member))
+            self._add_process(
+                member.name, "heathermount.cli.daemon", f"--config={path}"
+            )
+
+    def _describe_backends(self, servers: list[ServerDescription]) -> None:
+        size = self.description.servers_per_process
+        for start in range(0, len(servers), size):
+            hosted = servers[start : start + size]
+            name = f"backend-{start // size + 1}"
+            settings = {
+                "seed": self._seed,
+                "record_file": f"{name}.records",
+                "servers": [msgspec.to_builtins(server) for server in hosted],
+            }
+            path = self._write(f"{name}.toml", settings)
+            self._add_process(name, "heathermount.standins.backend", f"--config={path}")
+            for server in hosted:
+                self.members[server.name].backend = name
+
+    def _make_member(self, service: ServiceDescription, number: int) -> Member:
+        domains = self.description.failure_domains
+        return Member(
+            name=f"{service.name}-{number + 1}",
+            service=service.name,
+            failure_domain=domains[number % len(domains)],
+            server=self._ports.reserve(),
+            callers=self._ports.reserve(),
+            local=self._ports.reserve(),
+            peers=self._ports.reserve(),
+            control=self._ports.reserve(),
+            observe=self._ports.reserve(),
+        )
+
+    def _node_settings(self, member: Member) -> dict[str, Any]:
+        seeds = [
+            other.control
+            for other in self.members.values()
+            if other.name != member.name
+        ]
+        settings: dict[str, dict[str, Any]] = {
+            "node": {
+                "name": member.name,
+                "service": member.service,
+                "failure_domain": member.failure_domain,
+            },
+            "listen": {
+                "callers": member.callers,
+                "local": member.local,
+                "peers": member.peers,
+                "control": member.control,
+                "observe": member.observe,
+            },
+            "store": {"endpoint": self.store_address},
+            "security": {"fleet_secret": SECRET},
+            "peers": {"seeds": seeds[:3]},
+        }
+        for section, fields in self._overrides.items():
+            settings.setdefault(section, {}).update(fields)
+        return settings
+
+    def _write(self, name: str, settings: dict[str, Any]) -> str:
+        path = self.directory / name
+        path.write_bytes(tomli_w.dumps(settings).encode())
+        return str(path)
+
+    def _add_process(self, name: str, module: str, flag: str) -> None:
+        command = [sys.executable, "-m", module, flag]
+        self.processes[name] = ManagedProcess(name, command, self.directory)
+
+    # Readiness
+
+    async def _wait_for_store(self, timeout_s: float = 15.0) -> None:
+        with anyio.move_on_after(timeout_s):
+            while True:
+                if await self._get(self.store_address, "/counters") is not None:
+                    return
+                await anyio.sleep(POLL_S)
+        raise FleetNotReady(f"store: {self.processes['store'].log_tail()}")
+
+    async def wait_ready(self, names: Iterable[str], timeout_s: float = 30.0) -> None:
+        """Wait until the nodes are ready; raise FleetNotReady."""
+        waiting = set(names)
+        with anyio.move_on_after(timeout_s):
+            while waiting:
+                ready = {name for name in waiting if await self.is_ready(name)}
+                waiting -= ready
+                if waiting:
+                    await anyio.sleep(POLL_S)
+        if waiting:
+            reports = [await self._describe_state(name) for name in sorted(waiting)]
+            raise FleetNotReady("; ".join(reports))
+
+    async def is_ready(self, name: str) -> bool:
+        answer = await self._get(self.members[name].observe, "/readyz")
+        return answer is not None and answer.status == 200
+
+    async def _describe_state(self, name: str) -> str:
+        answer = await self._get(self.members[name].observe, "/readyz")
+        reason = answer.body.decode() if answer else "no answer"
+        return f"{name}: {reason}: {self.processes[name].log_tail()}"
+
+    # Faults
+
+    async def kill(self, name: str) -> None:
+        """Kill a process: a node by its name, "store", or "backend-<n>"."""
+        await self._collect_events([name])
+        self.events.record("process-killed", process=name)
+        self.processes[name].kill()
+
+    def pause(self, name: str) -> None:
+        self.events.record("process-paused", process=name)
+        self.processes[name].pause()
+
+    def resume(self, name: str) -> None:
+        self.events.record("process-resumed", process=name)
+        self.processes[name].resume()
+
+    async def terminate(self, name: str, timeout_s: float = 40.0) -> int | None:
+        """Stop a process as planned; return its exit code, None if it still runs."""
+        await self._collect_events([name])
+        self.events.record("process-terminated", process=name)
+        self.processes[name].terminate()
+        return await self.processes[name].wait(timeout_s)
+
+    def restart(self, name: str) -> None:
+        """Start a process that has ended again, at its addresses."""
+        self.events.record("process-started", process=name)
+        self.processes[name].start()
+
+    async def change_behaviour(self, server: str, **fields: Any) -> bool:
+        """Change a backend server's behaviour; return whether it was reached."""
+        self.events.record("behaviour-changed", server=server, fields=str(fields))
+        answer = await self._call(
+            self.members[server].server, "POST", "/behaviour", fields
+        )
+        return answer is not None and answer.status == 200
+
+    async def drain(self, name: str) -> bool:
+        """Start draining a backend server at its node."""
+        self.events.record("drain-asked", server=name)
+        await self.change_behaviour(name, drain=True)
+        path = "/heathermount/v1/drain"
+        answer = await self._call(self.members[name].local, "POST", path, {})
+        return answer is not None and answer.status == 202
+
+    async def set_store_faults(self, **fields: Any) -> bool:
+        """Change the store's faults; return whether it was reached."""
+        self.events.record("store-faults", fields=str(fields))
+        answer = await self._call(self.store_address, "POST", "/faults", fields)
+        return answer is not None and answer.status == 200
+
+    # Observation
+
+    def entries(self) -> list[str]:
+        """Return the addresses at which callers enter."""
+        return [member.callers for member in self.members.values()]
+
+    def run_records(self) -> list[RunRecord]:
+        """Return every backend server's records, also those of ended processes."""
+        return read_run_records(sorted(self.directory.glob("*.records")))
+
+    async def read_metrics(self, name: str) -> dict[str, float]:
+        """Return a node's samples, "name{label=value}"; empty when unreachable."""
+        answer = await self._get(self.members[name].observe, "/metrics")
+        return parse_metrics(answer.body.decode()) if answer is not None else {}
+
+    async def violations(self) -> dict[str, int]:
+        """Return violated invariants of all nodes, by "node/invariant"."""
+        found: Counter[str] = Counter()
+        for name in self.members:
+            logged = count_logged_violations(self.processes[name].log_path)
+            for sample, value in (await self.read_metrics(name)).items():
+                if sample.startswith(VIOLATIONS_METRIC) and "_created" not in sample:
+                    invariant = sample.partition("=")[2].rstrip("}")
+                    logged[invariant] = max(logged[invariant], int(value))
+            found.update({f"{name}/{k}": count for k, count in logged.items() if count})
+        return dict(found)
+
+    async def timeline(self) -> list[Event]:
+        """Return the events of all nodes and of this runner in causal order."""
+        await self._collect_events(self.members)
+        return merge_events([*self._collected, self.events.recent()])
+
+    async def _collect_events(self, names: Iterable[str]) -> None:
+        for name in names:
+            if name not in self.members or self.processes[name].paused:
+                continue
+            answer = await self._get(self.members[name].observe, "/timeline")
+            if answer is not None and answer.status == 200:
+                self._collected.append(decode_events(answer.body))
+
+    async def _get(self, address: str, path: str) -> HttpAnswer | None:
+        return await self._call(address, "GET", path)
+
+    async def _call(
+        self, address: str, method: str, path: str, fields: dict[str, Any] | None = None
+    ) -> HttpAnswer | None:
+        """Make one call on a connection of its own; None when it failed."""
+        connections = Connections(address)
+        body = b"" if fields is None else msgspec.json.encode(fields)
+        headers = [(b"content-type", b"application/json")]
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_S):
+                return await connections.request(method, path, headers, body)
+        except (RequestNotSent, RequestBroken, TimeoutError):
+            return None
+        finally:
+            await connections.aclose()
+
+
+def make_server(service: ServiceDescription, member: Member) -> ServerDescription:
+    """Return the backend server of a member."""
+    return ServerDescription(
+        name=member.name,
+        service=service.name,
+        listen=member.server,
+        node=member.local,
+        slots=service.slots,
+        connections=service.connections,
+        routes=[route.to_work() for route in service.routes],
+        cold_start_s=service.cold_start_s,
+    )
+
+
+def parse_metrics(text: str) -> dict[str, float]:
+    """Parse the Prometheus text format."""
+    samples: dict[str, float] = {}
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            labels = ",".join(f"{k}={v}" for k, v in sorted(sample.labels.items()))
+            name = f"{sample.name}{{{labels}}}" if labels else sample.name
+            samples[name] = sample.value
+    return samples
+
+
+def count_logged_violations(path: Path) -> Counter[str]:
+    """Count violated invariants in a log, which outlives a killed node."""
+    found: Counter[str] = Counter()
+    if not path.exists():
+        return found
+    for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+        if VIOLATION_EVENT in line:
+            fields = dict(part.partition("=")[::2] for part in line.split())
+            found[fields.get("invariant", "unnamed")] += 1
+    return found
+
+
+def decode_events(body: bytes) -> list[Event]:
+    """Decode a node's time line, one JSON object a line."""
+    lines = [msgspec.json.decode(line) for line in body.splitlines() if line]
+    return [Event(**line) for line in lines]
--- /dev/null
+++ b/src/heathermount/standins/processes.py
@@ -0,0 +1,115 @@
+"""Processes that the fleet runner starts, and the ports reserved for them."""
+
+import signal
+import socket
+import subprocess
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+import anyio
+
+__all__ = ["ManagedProcess", "PortReservation"]
+
+POLL_S: Final = 0.02
+
+
+class PortReservation:
+    """Ports chosen by the system and kept for this run.
+
+    A bound socket that does not listen keeps the system from giving the port to
+    an outgoing connection, so that a process can come back to its address. With
+    SO_REUSEADDR on both sides the process may still bind and listen, and while
+    it does not, connections are refused.
+    """
+
+    __slots__ = ("_sockets",)
+
+    def __init__(self) -> None:
+        self._sockets: list[socket.socket] = []
+
+    def reserve(self) -> str:
+        """Return a loopback address, "ip:port"."""
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(("127.0.0.1", 0))
+        self._sockets.append(reserved)
+        return f"127.0.0.1:{reserved.getsockname()[1]}"
+
+    def close(self) -> None:
+        while self._sockets:
+            self._sockets.pop().close()
+
+
+class ManagedProcess:
+    """One process; signals go to its process id only."""
+
+    __slots__ = ("_command", "_directory", "_process", "log_path", "name", "paused")
+
+    def __init__(self, name: str, command: Sequence[str], directory: Path) -> None:
+        self.name = name
+        self.log_path = directory / f"{name}.log"
+        self.paused = False
+        self._command = list(command)
+        self._directory = directory
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def returncode(self) -> int | None:
+        return None if self._process is None else self._process.poll()
+
+    def start(self) -> None:
+        """Start the process; its output is appended to the log."""
+        assert not self.running
+        with self.log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                self._command,
+                cwd=self._directory,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self.paused = False
+
+    def kill(self) -> None:
+        """End the process at once, as the loss of an instance does."""
+        self._send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    def terminate(self) -> None:
+        """Ask for a planned stop."""
+        self._send(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Stop the process from running; its connections stay open."""
+        self._send(signal.SIGSTOP)
+        self.paused = True
+
+    def resume(self) -> None:
+        self._send(signal.SIGCONT)
+        self.paused = False
+
+    async def wait(self, timeout_s: float) -> int | None:
+        """Return the exit code, or None when the process still runs."""
+        with anyio.move_on_after(timeout_s):
+            while True:
+                if not self.running:
+                    break
+                await anyio.sleep(POLL_S)
+        return self.returncode
+
+    def log_tail(self, lines: int = 5) -> str:
+        """Return the last lines of the log."""
+        if not self.log_path.exists():
+            return ""
+        text = self.log_path.read_text(encoding="utf-8", errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
+
+    def _send(self, number: signal.Signals) -> None:
+        if self._process is not None and self.running:
+            self._process.send_signal(number)
