--- a/src/heathermount/wire/control.py
+++ b/src/heathermount/wire/control.py
@@ -2,10 +2,12 @@
 
 import hmac
 import secrets
+import socket
 import ssl
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final, Protocol, TypeVar
 
+import anyio
 import msgspec
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
@@ -14,8 +16,18 @@
 from grpclib.server import Server, Stream
 
 from heathermount.clocks import Clock
-from heathermount.errors import HeathermountError, PeerRejected, PeerUnreachable
+from heathermount.errors import (
+    HeathermountError,
+    InvalidMessage,
+    PeerError,
+    PeerLost,
+    PeerRefused,
+    PeerRejected,
+    PeerTimeout,
+    PeerUnreachable,
+)
 from heathermount.events import Event
+from heathermount.wire.frames import decode_body
 
 __all__ = [
     "ConfigurationReply",
@@ -199,7 +211,7 @@
         return msgspec.msgpack.encode(message)
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        return msgspec.msgpack.decode(data, type=message_type)
+        return decode_body(msgspec.msgpack.Decoder(message_type), data)
 
 
 def make_token(secret: bytes, path: str, clock: Clock) -> str:
@@ -213,7 +225,9 @@
     """Tell whether a token was made with the fleet secret for `path`."""
     issued, _, proof = token.rpartition(".")
     seconds = issued.partition(".")[0]
-    if not seconds.isdigit():
+    # The token comes from outside: compare_digest takes ASCII strings only, and
+    # int refuses other decimal signs and very long numbers.
+    if not (token.isascii() and seconds.isdecimal() and len(seconds) <= 20):
         return False
     if abs(clock.wall() - int(seconds)) > MAX_TOKEN_AGE_S:
         return False
@@ -239,9 +253,13 @@
         self._tls = tls
         self._server: Server | None = None
 
-    async def start(self, host: str, port: int) -> None:
+    async def start(self, host: str, port: int) -> str:
+        """Open the listener and return its address as "ip:port"."""
+        listener = socket.create_server((host, port), backlog=256)
+        listener.setblocking(False)
         self._server = Server([self], codec=MsgpackCodec())
-        await self._server.start(host, port, ssl=self._tls, backlog=256)
+        await self._server.start(sock=listener, ssl=self._tls)
+        return f"{host}:{listener.getsockname()[1]}"
 
     async def close(self) -> None:
         if self._server is not None:
@@ -268,7 +286,10 @@
             token = str(metadata.get(TOKEN_HEADER, ""))
             if not check_token(self._secret, path, self._clock, token):
                 raise GRPCError(Status.UNAUTHENTICATED, "use the fleet secret")
-            request = await stream.recv_message()
+            try:
+                request = await stream.recv_message()
+            except InvalidMessage as error:
+                raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
             if request is None:
                 raise GRPCError(Status.INVALID_ARGUMENT, "the request is missing")
             try:
@@ -306,8 +327,10 @@
     ) -> Reply:
         """Call the method that takes `request`.
 
-        Raises PeerUnreachable when the node cannot be reached within
-        `timeout_s` seconds and PeerRejected when it refuses the request.
+        Raises PeerRefused when nothing listens at the address, PeerUnreachable
+        when the node cannot be reached, PeerTimeout when it does not answer
+        within `timeout_s` seconds, PeerLost when the connection ends and
+        PeerRejected when the node refuses the request.
         """
         name, _ = METHODS[type(request)]
         path = SERVICE + name
@@ -315,20 +338,48 @@
             self._channel, path, type(request), reply_type
         )
         token = make_token(self._secret, path, self._clock)
+        started = self._clock.monotonic()
+        await self._connect(timeout_s)
+        remaining_s = max(0.001, timeout_s - (self._clock.monotonic() - started))
         try:
             return await method(
-                request, timeout=timeout_s, metadata={TOKEN_HEADER: token}
+                request, timeout=remaining_s, metadata={TOKEN_HEADER: token}
             )
         except GRPCError as error:
-            if error.status in (Status.UNAVAILABLE, Status.DEADLINE_EXCEEDED):
-                raise PeerUnreachable(f"{self.address}: {error.message}") from error
-            raise PeerRejected(error.status.name, error.message or "") from error
-        except (OSError, TimeoutError) as error:
-            raise PeerUnreachable(f"{self.address}: {error!r}") from error
+            raise translate_status(self.address, error) from error
+        except TimeoutError as error:
+            raise PeerTimeout(f"{self.address} did not answer in time") from error
+        except InvalidMessage as error:
+            raise PeerLost(f"{self.address}: {error}") from error
         except Exception as error:
             # grpclib raises its own connection errors (ProtocolError,
             # StreamTerminatedError), which share no base class.
+            raise PeerLost(f"{self.address}: {error!r}") from error
+
+    async def _connect(self, timeout_s: float) -> None:
+        """Connect first: a failure up to here proves that nothing was sent."""
+        try:
+            with anyio.fail_after(timeout_s):
+                await self._channel.__connect__()
+        except ConnectionRefusedError as error:
+            raise PeerRefused(f"nothing listens at {self.address}") from error
+        except TimeoutError as error:
+            raise PeerUnreachable(f"{self.address} did not accept in time") from error
+        except ssl.SSLError as error:
+            rejected = PeerRejected("tls", f"{self.address}: {error}")
+            rejected.sent = False
+            raise rejected from error
+        except OSError as error:
             raise PeerUnreachable(f"{self.address}: {error!r}") from error
 
     def close(self) -> None:
         self._channel.close()
+
+
+def translate_status(address: str, error: GRPCError) -> PeerError:
+    """Return the package's error for a status that the peer sent."""
+    if error.status is Status.DEADLINE_EXCEEDED:
+        return PeerTimeout(f"{address}: {error.message}")
+    if error.status is Status.UNAVAILABLE:
+        return PeerUnreachable(f"{address}: {error.message}")
+    return PeerRejected(error.status.name, error.message or "")
--- /dev/null
+++ b/src/heathermount/wire/frames.py
@@ -0,0 +1,120 @@
+"""Frames on a byte stream: a header (length, call number, kind) and a body."""
+
+import struct
+from enum import IntEnum
+from typing import Final, TypeVar
+
+import anyio
+import msgspec
+from anyio.abc import ByteStream
+
+from heathermount.errors import InvalidMessage, PeerUnreachable
+
+__all__ = [
+    "HEADER",
+    "MAX_BUFFER_BYTES",
+    "MAX_FRAME_BYTES",
+    "FrameStream",
+    "Kind",
+    "Outbox",
+    "decode_body",
+    "frame",
+]
+
+HEADER: Final = struct.Struct(">IQB")
+# A frame carries one body of at most a few MiB; anything longer is malformed.
+MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
+# Unsent bytes above which a peer counts as stuck instead of growing in memory.
+MAX_BUFFER_BYTES: Final = 64 * 1024 * 1024
+READ_BYTES: Final = 65536
+
+Body = TypeVar("Body")
+
+
+class Kind(IntEnum):
+    """Kind of a frame."""
+
+    REQUEST = 0
+    ANSWER = 1
+    CANCEL = 2
+    REJECTED = 3
+
+
+class FrameStream:
+    """Reads and writes frames on a byte stream."""
+
+    __slots__ = ("_buffer", "_stream")
+
+    def __init__(self, stream: ByteStream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+
+    async def read(self, limit_bytes: int = MAX_FRAME_BYTES) -> tuple[int, int, bytes]:
+        """Return call number, kind and body of the next frame.
+
+        Raises InvalidMessage for a body over `limit_bytes`, and the errors of
+        the stream when it ends.
+        """
+        await self._fill(HEADER.size)
+        length, number, kind = HEADER.unpack_from(self._buffer)
+        if length > limit_bytes:
+            raise InvalidMessage(
+                f"frame of {length} bytes is over the limit of {limit_bytes}; "
+                "check the version of the peer"
+            )
+        await self._fill(HEADER.size + length)
+        body = bytes(self._buffer[HEADER.size : HEADER.size + length])
+        del self._buffer[: HEADER.size + length]
+        return number, kind, body
+
+    async def _fill(self, size: int) -> None:
+        while len(self._buffer) < size:
+            self._buffer += await self._stream.receive(READ_BYTES)
+
+    async def write(self, data: bytes) -> None:
+        await self._stream.send(data)
+
+    async def close(self) -> None:
+        await anyio.aclose_forcefully(self._stream)
+
+
+def frame(number: int, kind: Kind, body: bytes) -> bytes:
+    return HEADER.pack(len(body), number, kind) + body
+
+
+def decode_body(decoder: msgspec.msgpack.Decoder[Body], body: bytes) -> Body:
+    """Return the decoded body; raise InvalidMessage for any other bytes."""
+    try:
+        return decoder.decode(body)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        # Deeply nested arrays end in a RecursionError of the decoder.
+        raise InvalidMessage(f"{error}; check the version of the peer") from error
+
+
+class Outbox:
+    """Sends frames from one task, so that a cancelled caller cannot cut a frame."""
+
+    __slots__ = ("_frames", "_ready", "_size", "_stream")
+
+    def __init__(self, stream: FrameStream) -> None:
+        self._stream = stream
+        self._frames: list[bytes] = []
+        self._ready = anyio.Event()
+        self._size = 0
+
+    def put(self, data: bytes) -> None:
+        """Queue a frame; raise PeerUnreachable when the peer does not read."""
+        if self._size > MAX_BUFFER_BYTES:
+            raise PeerUnreachable("the peer does not read; check its load")
+        self._frames.append(data)
+        self._size += len(data)
+        self._ready.set()
+
+    async def run(self) -> None:
+        while True:
+            await self._ready.wait()
+            self._ready = anyio.Event()
+            frames, self._frames = self._frames, []
+            data = b"".join(frames)
+            await self._stream.write(data)
+            self._size -= len(data)
--- /dev/null
+++ b/src/heathermount/wire/handshake.py
@@ -0,0 +1,93 @@
+"""Handshake of a link: both sides prove that they know the fleet secret."""
+
+import hmac
+import secrets
+import ssl
+from collections.abc import Callable
+from typing import Any, Final
+
+import msgspec
+
+from heathermount.errors import PeerRejected
+from heathermount.wire.frames import FrameStream, Kind, decode_body, frame
+
+__all__ = ["Identity", "PeerHello", "shake_hands"]
+
+# Peers are not authenticated yet, so that they may not make a node buffer more.
+MAX_HANDSHAKE_BYTES: Final = 4096
+ENCODER: Final = msgspec.msgpack.Encoder()
+
+
+class PeerHello(msgspec.Struct, frozen=True, array_like=True):
+    """First frame of each side."""
+
+    node: str
+    incarnation: str
+    nonce: bytes
+
+
+HELLO_DECODER: Final = msgspec.msgpack.Decoder(PeerHello)
+
+
+class Identity:
+    """Who this process is towards its peers, and the secret that proves it.
+
+    With TLS, `check_peer_name(certificate, node, ip_number)` raises
+    PeerRejected when the certificate belongs to another node.
+    """
+
+    __slots__ = (
+        "check_peer_name",
+        "client_tls",
+        "incarnation",
+        "node",
+        "secret",
+        "server_tls",
+    )
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: str,
+        secret: bytes,
+        client_tls: ssl.SSLContext | None = None,
+        server_tls: ssl.SSLContext | None = None,
+        check_peer_name: Callable[[dict[str, Any], str, str], None] | None = None,
+    ) -> None:
+        self.node = node
+        self.incarnation = incarnation
+        self.secret = secret
+        self.client_tls = client_tls
+        self.server_tls = server_tls
+        self.check_peer_name = check_peer_name
+
+    def prove(self, role: bytes, own: PeerHello, peer: PeerHello) -> bytes:
+        """Return a proof that binds both hellos to the fleet secret."""
+        transcript = msgspec.msgpack.encode([role, own, peer])
+        return hmac.digest(self.secret, transcript, "sha256")
+
+
+async def shake_hands(
+    stream: FrameStream,
+    identity: Identity,
+    connecting: bool,
+    check_hello: Callable[[PeerHello], None] | None = None,
+) -> PeerHello:
+    """Exchange hellos and proofs; return the peer's hello.
+
+    Raises PeerRejected for a wrong secret or a hello that `check_hello`
+    refuses, InvalidMessage for malformed frames. A peer refused by its hello
+    gets no proof, so that its own handshake fails and it sends no request.
+    """
+    roles = (b"connect", b"accept") if connecting else (b"accept", b"connect")
+    own = PeerHello(identity.node, identity.incarnation, secrets.token_bytes(16))
+    await stream.write(frame(0, Kind.REQUEST, ENCODER.encode(own)))
+    _, _, body = await stream.read(MAX_HANDSHAKE_BYTES)
+    peer = decode_body(HELLO_DECODER, body)
+    if check_hello is not None:
+        check_hello(peer)
+    await stream.write(frame(0, Kind.ANSWER, identity.prove(roles[0], own, peer)))
+    _, _, proof = await stream.read(MAX_HANDSHAKE_BYTES)
+    if not hmac.compare_digest(proof, identity.prove(roles[1], peer, own)):
+        raise PeerRejected("wrong-secret", "use the same fleet secret on all nodes")
+    return peer
--- a/src/heathermount/wire/link.py
+++ b/src/heathermount/wire/link.py
@@ -4,175 +4,49 @@
 prove that they know the fleet secret before the first call.
 """
 
-import hmac
-import secrets
 import ssl
-import struct
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from enum import IntEnum
 from typing import Final
 
 import anyio
 import msgspec
-from anyio.abc import ByteStream, SocketAttribute, TaskGroup
-from anyio.streams.tls import TLSStream
+from anyio.abc import ByteStream, TaskGroup
 
 from heathermount.errors import (
     HeathermountError,
     InvalidMessage,
+    PeerError,
     PeerLost,
     PeerRefused,
     PeerRejected,
     PeerTimeout,
     PeerUnreachable,
 )
-from heathermount.wire.messages import Message
+from heathermount.wire.frames import (
+    HEADER,
+    MAX_FRAME_BYTES,
+    FrameStream,
+    Kind,
+    Outbox,
+    decode_body,
+    frame,
+)
+from heathermount.wire.handshake import ENCODER, Identity, PeerHello
+from heathermount.wire.messages import Answer, Execute, Message
+from heathermount.wire.server import (
+    MESSAGE_DECODER,
+    Handler,
+    LinkServer,
+    Rejection,
+    greet,
+)
+from heathermount.wire.traffic import Traffic
 
-__all__ = ["Identity", "Link", "LinkPool", "LinkServer", "PeerHello"]
+__all__ = ["Handler", "Identity", "Link", "LinkPool", "LinkServer", "PeerHello"]
 
-HEADER: Final = struct.Struct(">IQB")
-# A frame carries one body of at most a few MiB; anything longer is malformed.
-MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
-# Unsent bytes above which a link counts as broken instead of growing in memory.
-MAX_BUFFER_BYTES: Final = 64 * 1024 * 1024
-HANDSHAKE_TIMEOUT_S: Final = 2.0
 CONNECT_TIMEOUT_S: Final = 1.0
-READ_BYTES: Final = 65536
-
-MESSAGE_DECODER: Final = msgspec.msgpack.Decoder(Message)
-ENCODER: Final = msgspec.msgpack.Encoder()
-
-
-class Kind(IntEnum):
-    """Kind of a frame."""
-
-    REQUEST = 0
-    ANSWER = 1
-    CANCEL = 2
-    REJECTED = 3
-
-
-class PeerHello(msgspec.Struct, frozen=True, array_like=True):
-    """First frame of each side."""
-
-    node: str
-    incarnation: str
-    nonce: bytes
-
-
-class Rejection(msgspec.Struct, array_like=True):
-    """Body of a frame that rejects a request."""
-
-    code: str
-    detail: str
-
-
-class Identity:
-    """Who this process is towards its peers, and the secret that proves it."""
-
-    __slots__ = ("client_tls", "incarnation", "node", "secret", "server_tls")
-
-    def __init__(
-        self,
-        node: str,
-        incarnation: str,
-        secret: bytes,
-        client_tls: ssl.SSLContext | None = None,
-        server_tls: ssl.SSLContext | None = None,
-    ) -> None:
-        self.node = node
-        self.incarnation = incarnation
-        self.secret = secret
-        self.client_tls = client_tls
-        self.server_tls = server_tls
-
-    def prove(self, role: bytes, own: PeerHello, peer: PeerHello) -> bytes:
-        """Return a proof that binds both hellos to the fleet secret."""
-        transcript = msgspec.msgpack.encode([role, own, peer])
-        return hmac.digest(self.secret, transcript, "sha256")
-
-
-class FrameStream:
-    """Reads and writes frames on a byte stream."""
-
-    __slots__ = ("_buffer", "_stream")
-
-    def __init__(self, stream: ByteStream) -> None:
-        self._stream = stream
-        self._buffer = bytearray()
-
-    async def read(self) -> tuple[int, int, bytes]:
-        """Return call number, kind and body of the next frame."""
-        await self._fill(HEADER.size)
-        length, number, kind = HEADER.unpack_from(self._buffer)
-        if length > MAX_FRAME_BYTES:
-            raise InvalidMessage(
-                f"frame of {length} bytes is over the limit of {MAX_FRAME_BYTES}"
-            )
-        await self._fill(HEADER.size + length)
-        body = bytes(self._buffer[HEADER.size : HEADER.size + length])
-        del self._buffer[: HEADER.size + length]
-        return number, kind, body
-
-    async def _fill(self, size: int) -> None:
-        while len(self._buffer) < size:
-            self._buffer += await self._stream.receive(READ_BYTES)
-
-    async def write(self, data: bytes) -> None:
-        await self._stream.send(data)
-
-    async def close(self) -> None:
-        await anyio.aclose_forcefully(self._stream)
-
 
-def frame(number: int, kind: Kind, body: bytes) -> bytes:
-    return HEADER.pack(len(body), number, kind) + body
-
-
-async def shake_hands(
-    stream: FrameStream, identity: Identity, connecting: bool
-) -> PeerHello:
-    """Exchange hellos and proofs; return the peer's hello."""
-    roles = (b"connect", b"accept") if connecting else (b"accept", b"connect")
-    own = PeerHello(identity.node, identity.incarnation, secrets.token_bytes(16))
-    await stream.write(frame(0, Kind.REQUEST, ENCODER.encode(own)))
-    _, _, body = await stream.read()
-    try:
-        peer = msgspec.msgpack.decode(body, type=PeerHello)
-    except msgspec.MsgspecError as error:
-        raise InvalidMessage(f"hello: {error}") from error
-    await stream.write(frame(0, Kind.ANSWER, identity.prove(roles[0], own, peer)))
-    _, _, proof = await stream.read()
-    if not hmac.compare_digest(proof, identity.prove(roles[1], peer, own)):
-        raise PeerRejected("wrong-secret", "use the same fleet secret on all nodes")
-    return peer
-
-
-class Outbox:
-    """Sends frames from one task, so that a cancelled caller cannot cut a frame."""
-
-    __slots__ = ("_frames", "_ready", "_size", "_stream")
-
-    def __init__(self, stream: FrameStream) -> None:
-        self._stream = stream
-        self._frames: list[bytes] = []
-        self._ready = anyio.Event()
-        self._size = 0
-
-    def put(self, data: bytes) -> None:
-        if self._size > MAX_BUFFER_BYTES:
-            raise PeerLost("the peer does not read; check its load")
-        self._frames.append(data)
-        self._size += len(data)
-        self._ready.set()
-
-    async def run(self) -> None:
-        while True:
-            await self._ready.wait()
-            self._ready = anyio.Event()
-            frames, self._frames, self._size = self._frames, [], 0
-            await self._stream.write(b"".join(frames))
+REJECTION_DECODER: Final = msgspec.msgpack.Decoder(Rejection)
 
 
 class PendingCall:
@@ -185,6 +59,10 @@
         self.answer: Message | None = None
         self.error: HeathermountError | None = None
 
+    def succeed(self, answer: Message) -> None:
+        self.answer = answer
+        self.done.set()
+
     def fail(self, error: HeathermountError) -> None:
         self.error = error
         self.done.set()
@@ -193,28 +71,36 @@
 class Link:
     """One connection to a peer, made by this node."""
 
-    __slots__ = ("_next", "_outbox", "_pending", "_stream", "closed", "late", "peer")
+    __slots__ = (
+        "_next",
+        "_outbox",
+        "_pending",
+        "_retired",
+        "_scope",
+        "_stream",
+        "_traffic",
+        "closed",
+        "peer",
+    )
 
-    def __init__(self, stream: FrameStream, peer: PeerHello) -> None:
+    def __init__(
+        self, stream: FrameStream, peer: PeerHello, traffic: Traffic | None = None
+    ) -> None:
         self._stream = stream
         self._outbox = Outbox(stream)
         self._pending: dict[int, PendingCall] = {}
         self._next = 1
+        self._retired = False
+        self._scope = anyio.CancelScope()
+        self._traffic = traffic or Traffic()
         self.peer = peer
         self.closed = False
-        # Answers that came after their call was given up.
-        self.late = 0
 
     async def run(self) -> None:
         """Read answers until the connection ends, then fail all calls."""
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._outbox.run)
-                await self._read_answers()
-        except* (OSError, EOFError, anyio.EndOfStream, anyio.BrokenResourceError):
-            pass
-        except* (anyio.ClosedResourceError, InvalidMessage):
-            pass
+            with self._scope:
+                await self._run_until_broken()
         finally:
             self.closed = True
             for call in self._pending.values():
@@ -223,114 +109,236 @@
             with anyio.CancelScope(shield=True):
                 await self._stream.close()
 
+    async def _run_until_broken(self) -> None:
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._outbox.run)
+                await self._read_answers()
+        except* (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            pass
+        except* (anyio.ClosedResourceError, InvalidMessage):
+            pass
+
     async def _read_answers(self) -> None:
         while True:
             number, kind, body = await self._stream.read()
+            if kind not in (Kind.ANSWER, Kind.REJECTED):
+                raise InvalidMessage(f"unexpected frame {number} of kind {kind}")
             call = self._pending.pop(number, None)
+            data = False
             if call is None:
-                self.late += 1
-                continue
-            if kind == Kind.REJECTED:
-                rejection = msgspec.msgpack.decode(body, type=Rejection)
-                call.fail(PeerRejected(rejection.code, rejection.detail))
-                continue
-            try:
-                call.answer = MESSAGE_DECODER.decode(body)
-            except msgspec.MsgspecError as error:
-                call.fail(PeerLost(f"answer cannot be decoded: {error}"))
-                continue
-            call.done.set()
+                self._traffic.late_answers += 1
+            elif kind == Kind.ANSWER:
+                data = complete(call, body)
+            else:
+                reject(call, body)
+            self._traffic.count_received(HEADER.size + len(body), data)
 
     async def call(self, message: Message, timeout_s: float) -> Message:
         """Send a message and return its answer.
 
         Raises PeerTimeout after `timeout_s` seconds, PeerLost when the
-        connection ends, PeerRejected when the peer refuses the message. The
-        peer is told when the caller no longer waits.
+        connection ends, PeerRejected when the peer refuses the message,
+        PeerUnreachable when nothing was sent. The peer is told when the caller
+        no longer waits.
         """
         if self.closed:
             raise PeerUnreachable(f"connection to {self.peer.node} is closed")
         number, self._next = self._next, self._next + 1
+        self._send_request(number, message)
         call = self._pending[number] = PendingCall()
         try:
-            self._outbox.put(frame(number, Kind.REQUEST, ENCODER.encode(message)))
             with anyio.move_on_after(timeout_s):
                 await call.done.wait()
         finally:
-            if self._pending.pop(number, None) is not None and not self.closed:
-                with suppress(PeerLost):
-                    self._outbox.put(frame(number, Kind.CANCEL, b""))
+            self._finish(number)
         if call.error is not None:
             raise call.error
         if call.answer is None:
             raise PeerTimeout(f"{self.peer.node} did not answer in {timeout_s:.3f} s")
         return call.answer
 
+    def _send_request(self, number: int, message: Message) -> None:
+        body = ENCODER.encode(message)
+        if len(body) > MAX_FRAME_BYTES:
+            raise not_sent(
+                PeerRejected(
+                    "too-large",
+                    f"the message has {len(body)} bytes; "
+                    f"a frame carries at most {MAX_FRAME_BYTES}",
+                )
+            )
+        self._outbox.put(frame(number, Kind.REQUEST, body))
+        data = isinstance(message, Execute)
+        self._traffic.count_sent(HEADER.size + len(body), data)
+
+    def _finish(self, number: int) -> None:
+        if self._pending.pop(number, None) is not None and not self.closed:
+            with suppress(PeerError):
+                self._outbox.put(frame(number, Kind.CANCEL, b""))
+                self._traffic.count_sent(HEADER.size, data=False)
+        if self._retired and not self._pending:
+            self._scope.cancel()
+
+    def retire(self) -> None:
+        """Close the connection as soon as no call waits on it."""
+        self._retired = True
+        if not self._pending:
+            self._scope.cancel()
+
+
+def complete(call: PendingCall, body: bytes) -> bool:
+    """Give a call its answer; tell whether it belongs to the data path."""
+    try:
+        answer: Message = decode_body(MESSAGE_DECODER, body)
+    except InvalidMessage as error:
+        call.fail(PeerLost(f"the answer cannot be decoded: {error}"))
+        return False
+    call.succeed(answer)
+    return isinstance(answer, Answer)
+
+
+def reject(call: PendingCall, body: bytes) -> None:
+    try:
+        rejection = decode_body(REJECTION_DECODER, body)
+    except InvalidMessage as error:
+        call.fail(PeerLost(f"the rejection cannot be decoded: {error}"))
+        return
+    call.fail(PeerRejected(rejection.code, rejection.detail))
+
+
+def not_sent(error: PeerError) -> PeerError:
+    """Mark an error that came before the peer could act."""
+    error.sent = False
+    return error
+
+
+class Attempt:
+    """One attempt to connect, shared by all calls that wait for it."""
+
+    __slots__ = ("done", "error", "link")
+
+    def __init__(self) -> None:
+        self.done = anyio.Event()
+        self.link: Link | None = None
+        self.error: PeerError = PeerUnreachable("the attempt was cancelled")
+
 
 class LinkPool:
     """Keeps one link to each peer address; connects on first use."""
 
-    __slots__ = ("_identity", "_links", "_locks", "_tasks")
+    __slots__ = ("_attempts", "_identity", "_links", "_tasks", "traffic")
 
-    def __init__(self, identity: Identity, tasks: TaskGroup) -> None:
+    def __init__(
+        self, identity: Identity, tasks: TaskGroup, traffic: Traffic | None = None
+    ) -> None:
         self._identity = identity
         self._tasks = tasks
         self._links: dict[str, Link] = {}
-        self._locks: dict[str, anyio.Lock] = {}
+        self._attempts: dict[str, Attempt] = {}
+        self.traffic = traffic or Traffic()
 
     async def call(self, address: str, message: Message, timeout_s: float) -> Message:
-        """Send a message to the node at `address` ("ip:port"); see Link.call."""
+        """Send a message to the node at `address` ("ip:port").
+
+        The time to connect counts into `timeout_s`. Raises the errors of
+        `connect` and Link.call.
+        """
         link = self._links.get(address)
         if link is None or link.closed:
-            link = await self.connect(address)
+            started = anyio.current_time()
+            link = await self._connect_within(address, timeout_s)
+            timeout_s = max(0.0, timeout_s - (anyio.current_time() - started))
         return await link.call(message, timeout_s)
 
+    async def _connect_within(self, address: str, timeout_s: float) -> Link:
+        with anyio.move_on_after(timeout_s):
+            return await self.connect(address)
+        raise PeerUnreachable(f"{address} did not accept in {timeout_s:.3f} s")
+
     async def connect(self, address: str) -> Link:
         """Return an open link.
 
         Raises PeerRefused when nothing listens there, PeerUnreachable when no
-        connection could be made in time.
+        connection could be made in time, PeerRejected when the secret or the
+        certificate is wrong; none of them was sent.
         """
-        lock = self._locks.setdefault(address, anyio.Lock())
-        async with lock:
-            link = self._links.get(address)
-            if link is not None and not link.closed:
-                return link
-            link = await open_link(address, self._identity)
-            self._links[address] = link
-            self._tasks.start_soon(link.run)
+        link = self._links.get(address)
+        if link is not None and not link.closed:
             return link
+        attempt = self._attempts.get(address)
+        if attempt is None:
+            attempt = self._attempts[address] = Attempt()
+            self._tasks.start_soon(self._keep, address, attempt)
+        await attempt.done.wait()
+        if attempt.link is None:
+            raise attempt.error
+        return attempt.link
+
+    async def _keep(self, address: str, attempt: Attempt) -> None:
+        """Connect, then run the link until it ends."""
+        try:
+            link = await open_link(address, self._identity, self.traffic)
+            attempt.link = self._links[address] = link
+        except PeerError as error:
+            attempt.error = error
+            return
+        finally:
+            del self._attempts[address]
+            attempt.done.set()
+        await link.run()
+        if self._links.get(address) is link:
+            del self._links[address]
 
     def forget(self, address: str) -> None:
-        """Drop the state of an address that is no longer a member."""
-        self._links.pop(address, None)
-        self._locks.pop(address, None)
+        """Close the link to an address that is no longer a member, once idle."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.retire()
 
     def late_answers(self) -> int:
-        return sum(link.late for link in self._links.values())
+        """Return how many answers came after their call was given up."""
+        return self.traffic.late_answers
 
 
-async def open_link(address: str, identity: Identity) -> Link:
+async def open_link(
+    address: str, identity: Identity, traffic: Traffic | None = None
+) -> Link:
     """Connect and shake hands; see LinkPool.connect for the errors."""
     host, _, port = address.rpartition(":")
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
-            stream: ByteStream = await anyio.connect_tcp(host, int(port))
-            if identity.client_tls is not None:
-                stream = await TLSStream.wrap(
-                    stream, ssl_context=identity.client_tls, hostname=host
-                )
-            frames = FrameStream(stream)
-            peer = await shake_hands(frames, identity, connecting=True)
+            frames, peer = await open_frames(host, int(port), identity)
     except TimeoutError as error:
         raise PeerUnreachable(f"{address} did not answer in time") from error
+    except ssl.SSLError as error:
+        raise not_sent(PeerRejected("tls", f"{address}: {error}")) from error
     except OSError as error:
         if is_refused(error):
             raise PeerRefused(f"nothing listens at {address}") from error
         raise PeerUnreachable(f"{address}: {error}") from error
-    except (anyio.EndOfStream, anyio.BrokenResourceError, ssl.SSLError) as error:
-        raise PeerUnreachable(f"{address} closed the connection") from error
-    return Link(frames, peer)
+    except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
+        raise PeerUnreachable(
+            f"{address} closed the connection in the handshake; see its log"
+        ) from error
+    except InvalidMessage as error:
+        raise not_sent(PeerRejected("malformed", f"{address}: {error}")) from error
+    except PeerRejected as error:
+        raise not_sent(error) from None
+    return Link(frames, peer, traffic)
+
+
+async def open_frames(
+    host: str, port: int, identity: Identity
+) -> tuple[FrameStream, PeerHello]:
+    """Connect and shake hands; close the connection when that fails."""
+    stream: ByteStream = await anyio.connect_tcp(host, port)
+    try:
+        return await greet(stream, identity, connecting=True)
+    except BaseException:
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(stream)
+        raise
 
 
 def is_refused(error: BaseException) -> bool:
@@ -340,114 +348,3 @@
     if isinstance(error, BaseExceptionGroup):
         return all(is_refused(part) for part in error.exceptions)
     return error.__cause__ is not None and is_refused(error.__cause__)
-
-
-Handler = Callable[[Message, PeerHello], Awaitable[Message]]
-
-
-class LinkServer:
-    """Accepts links from other nodes: one task for each connection."""
-
-    __slots__ = ("_handler", "_identity", "_listener", "address")
-
-    def __init__(self, identity: Identity, handler: Handler) -> None:
-        self._identity = identity
-        self._handler = handler
-        self._listener: anyio.abc.Listener[ByteStream] | None = None
-        self.address = ""
-
-    async def bind(self, host: str, port: int) -> str:
-        """Open the listener and return its address as "ip:port"."""
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, backlog=1024
-        )
-        bound = listener.extra(SocketAttribute.local_port)
-        self._listener = listener
-        self.address = f"{host}:{bound}"
-        return self.address
-
-    async def run(self) -> None:
-        if self._listener is None:
-            raise RuntimeError("call bind before run")
-        await self._listener.serve(self._serve)
-
-    async def close(self) -> None:
-        """Close the listener: from now on a connection attempt is refused."""
-        if self._listener is not None:
-            await self._listener.aclose()
-
-    async def _serve(self, stream: ByteStream) -> None:
-        frames: FrameStream | None = None
-        try:
-            with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-                if self._identity.server_tls is not None:
-                    stream = await TLSStream.wrap(
-                        stream,
-                        server_side=True,
-                        ssl_context=self._identity.server_tls,
-                    )
-                frames = FrameStream(stream)
-                peer = await shake_hands(frames, self._identity, connecting=False)
-            await ServedLink(frames, peer, self._handler).run()
-        except* (OSError, TimeoutError, anyio.EndOfStream, HeathermountError):
-            pass
-        except* (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            pass
-        finally:
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(stream)
-
-
-class ServedLink:
-    """One accepted connection: one task for each request on it."""
-
-    __slots__ = ("_handler", "_outbox", "_peer", "_running", "_stream")
-
-    def __init__(self, stream: FrameStream, peer: PeerHello, handler: Handler) -> None:
-        self._stream = stream
-        self._outbox = Outbox(stream)
-        self._peer = peer
-        self._handler = handler
-        self._running: dict[int, anyio.CancelScope] = {}
-
-    async def run(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._outbox.run)
-            try:
-                await self._read_requests(tasks)
-            finally:
-                # Nobody waits for the answers any more.
-                tasks.cancel_scope.cancel()
-
-    async def _read_requests(self, tasks: TaskGroup) -> None:
-        while True:
-            number, kind, body = await self._stream.read()
-            if kind == Kind.CANCEL:
-                scope = self._running.get(number)
-                if scope is not None:
-                    scope.cancel()
-                continue
-            try:
-                message = MESSAGE_DECODER.decode(body)
-            except msgspec.MsgspecError as error:
-                self._reject(number, "malformed", str(error))
-                continue
-            scope = self._running[number] = anyio.CancelScope()
-            tasks.start_soon(self._handle, number, message, scope)
-
-    async def _handle(
-        self, number: int, message: Message, scope: anyio.CancelScope
-    ) -> None:
-        try:
-            with scope:
-                answer = await self._handler(message, self._peer)
-                self._outbox.put(frame(number, Kind.ANSWER, ENCODER.encode(answer)))
-        except HeathermountError as error:
-            self._reject(number, type(error).__name__, str(error))
-        finally:
-            self._running.pop(number, None)
-
-    def _reject(self, number: int, code: str, detail: str) -> None:
-        with suppress(PeerLost):
-            body = ENCODER.encode(Rejection(code, detail))
-            self._outbox.put(frame(number, Kind.REJECTED, body))
--- a/src/heathermount/wire/traffic.py
+++ b/src/heathermount/wire/traffic.py
@@ -20,6 +20,7 @@
         "data_bytes_sent",
         "data_received",
         "data_sent",
+        "late_answers",
     )
 
     def __init__(self) -> None:
@@ -34,6 +35,8 @@
     data_bytes_sent: int
     data_received: int
     data_sent: int
+    # Answers that came after their call was given up.
+    late_answers: int
 
     def count_sent(self, size_bytes: int, data: bool) -> None:
         if data:
