--- /dev/null
+++ b/src/heathermount/quota/allocator.py
@@ -0,0 +1,183 @@
+"""Owner side of rate limits: token buckets of one partition."""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import msgspec
+
+from heathermount.clocks import Clock
+from heathermount.invariants import Invariants
+from heathermount.ownership import Partition
+from heathermount.quota.shares import Allotment, Share, divide, share_domains
+from heathermount.wire.messages import TokenGrant, TokenReply, TokenRequest
+
+__all__ = ["Allocator"]
+
+# Wait suggested by an allocator that holds no share of the organisation.
+NO_SHARE_RETRY_S: Final = 1.0
+# Levels are floating point sums; a token is whole when it is this close.
+ROUNDING: Final = 1e-9
+
+
+class SavedBuckets(msgspec.Struct, array_like=True):
+    """State of an allocator for its next owner.
+
+    `empty_age_s` is the time since all buckets were empty, or None when the
+    allocator started with full ones.
+    """
+
+    levels: dict[str, float]
+    empty_age_s: float | None
+
+
+class Bucket:
+    """Token bucket of one organisation."""
+
+    __slots__ = ("filled_at", "level", "share")
+
+    def __init__(self, share: Share, level: float, now: float) -> None:
+        self.share = share
+        self.level = min(level, share.capacity)
+        self.filled_at = now
+
+    def fill(self, now: float) -> None:
+        """Add what accrued at the current share's rate."""
+        accrued = max(0.0, now - self.filled_at) * self.share.rate
+        self.level = min(self.share.capacity, self.level + accrued)
+        self.filled_at = max(now, self.filled_at)
+
+    def change(self, share: Share) -> None:
+        """Continue with a new share; a larger one adds no tokens at once."""
+        self.share = share
+        self.level = min(self.level, share.capacity)
+
+
+class Allocator:
+    """Grants tokens of the organisations in one partition.
+
+    After a takeover without state every bucket starts empty, because the
+    previous owner may have granted its tokens just before.
+    """
+
+    __slots__ = (
+        "_buckets",
+        "_clock",
+        "_domain",
+        "_empty_since",
+        "_invariants",
+        "partition",
+    )
+
+    def __init__(
+        self, partition: Partition, clock: Clock, invariants: Invariants
+    ) -> None:
+        self.partition = partition
+        self._domain = partition.name.split("/")[1]
+        self._clock = clock
+        self._invariants = invariants
+        self._buckets: dict[str, Bucket] = {}
+        self._empty_since: float | None = None
+        if not partition.fresh_start:
+            self._empty_since = clock.monotonic()
+
+    def answer(
+        self,
+        request: TokenRequest,
+        find_allotment: Callable[[str], Allotment | None],
+        domains: Sequence[str],
+    ) -> TokenReply:
+        """Answer the wishes of one node; `domains` are the declared ones."""
+        if not self.partition.owns():
+            return TokenReply(owned=False, grants=[])
+        grants = []
+        for wish in request.wishes:
+            allotment = find_allotment(wish.organisation)
+            if allotment is None:
+                grants.append(TokenGrant(wish.organisation, 0, 0.0, NO_SHARE_RETRY_S))
+                continue
+            grants.append(
+                self.grant(wish.organisation, wish.amount, allotment, domains)
+            )
+        return TokenReply(owned=True, grants=grants)
+
+    def grant(
+        self,
+        organisation: str,
+        wanted: int,
+        allotment: Allotment,
+        domains: Sequence[str],
+    ) -> TokenGrant:
+        """Deduct up to `wanted` tokens and return the grant.
+
+        Grants nothing when this process does not own the partition now.
+        """
+        nothing = TokenGrant(organisation, 0, 0.0, NO_SHARE_RETRY_S)
+        if not self.partition.owns():
+            return nothing
+        holders = share_domains(organisation, allotment, domains)
+        if self._domain not in holders:
+            self._empty(organisation)
+            return nothing
+        share = divide(allotment, len(holders))
+        bucket = self._find(organisation, share)
+        available = bucket.level
+        amount = max(0, min(wanted, int(available + ROUNDING)))
+        bucket.level = available - amount
+        self._invariants.check(
+            0 <= amount <= available + ROUNDING and available <= share.capacity,
+            "grant-within-bucket",
+            organisation=organisation,
+        )
+        return TokenGrant(organisation, amount, share.validity_s, wait_of(bucket))
+
+    def _find(self, organisation: str, share: Share) -> Bucket:
+        now = self._clock.monotonic()
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            bucket = self._buckets[organisation] = self._make(share, now)
+        bucket.fill(now)
+        if bucket.share != share:
+            bucket.change(share)
+        return bucket
+
+    def _make(self, share: Share, now: float) -> Bucket:
+        if self._empty_since is None:
+            return Bucket(share, share.capacity, now)
+        return Bucket(share, (now - self._empty_since) * share.rate, now)
+
+    def _empty(self, organisation: str) -> None:
+        """Start from nothing should this domain get a share later."""
+        now = self._clock.monotonic()
+        self._buckets[organisation] = Bucket(Share(0.0, 0.0, 0.0), 0.0, now)
+
+    def dump(self) -> bytes:
+        """Return the levels for the next owner."""
+        now = self._clock.monotonic()
+        for bucket in self._buckets.values():
+            bucket.fill(now)
+        levels = {name: bucket.level for name, bucket in self._buckets.items()}
+        age_s = None if self._empty_since is None else now - self._empty_since
+        return msgspec.msgpack.encode(SavedBuckets(levels, age_s))
+
+    def load(self, state: bytes) -> None:
+        """Continue at the levels of the previous owner.
+
+        Nothing accrues for the time of the handover itself.
+        """
+        saved = msgspec.msgpack.decode(state, type=SavedBuckets)
+        now = self._clock.monotonic()
+        if saved.empty_age_s is not None:
+            self._empty_since = now - saved.empty_age_s
+        for organisation, level in saved.levels.items():
+            share = Share(max(level, 0.0), 0.0, 0.0)
+            self._buckets[organisation] = Bucket(share, level, now)
+
+
+def wait_of(bucket: Bucket) -> float:
+    """Return the seconds until the bucket holds one token."""
+    missing = 1.0 - bucket.level
+    if missing <= ROUNDING:
+        return 0.0
+    if bucket.share.rate <= 0:
+        return NO_SHARE_RETRY_S
+    return missing / bucket.share.rate
