Add the operators' tool

Nodes are read before a write, so that a push needs no store afterwards; a change counts as confirmed only when every member of a roster reports it.

--- a/src/heathermount/cli/__init__.py
+++ b/src/heathermount/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Thin command lines over plain functions."""
--- /dev/null
+++ b/src/heathermount/cli/actions.py
@@ -0,0 +1,397 @@
+"""What the operators' tool does, as plain functions over a store and the nodes."""
+
+import ssl
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any, Final, TypeVar
+
+import anyio
+import msgspec
+
+from heathermount.cli.rosters import (
+    ROSTER_PREFIX,
+    MemberRecord,
+    RosterRecord,
+    decode_roster,
+)
+from heathermount.clocks import Clock, SystemClock
+from heathermount.config.checking import load_toml
+from heathermount.config.declaration import Declaration
+from heathermount.config.documents import Change
+from heathermount.config.operations import (
+    Preview,
+    add_key,
+    apply_declaration,
+    preview,
+    read_document,
+    withdraw_key,
+)
+from heathermount.config.settings import Settings
+from heathermount.errors import (
+    ConfigurationProblem,
+    InvalidMessage,
+    PeerError,
+    StoreUnavailable,
+)
+from heathermount.events import Event, merge_events
+from heathermount.store import Store
+from heathermount.wire.control import (
+    ControlClient,
+    DrainReply,
+    DrainRequest,
+    PushReply,
+    PushRequest,
+    RosterReply,
+    RosterRequest,
+    StatusReply,
+    StatusRequest,
+    TimelineReply,
+    TimelineRequest,
+)
+
+__all__ = [
+    "FleetAccess",
+    "KeyRow",
+    "Node",
+    "NodeState",
+    "Rollout",
+    "add",
+    "apply",
+    "check",
+    "collect_timeline",
+    "diff",
+    "drain",
+    "find_nodes",
+    "list_keys",
+    "read_states",
+    "withdraw",
+]
+
+# Nodes of each service that get a change directly; the others learn it from them.
+PUSHES_PER_SERVICE: Final = 3
+CALL_TIMEOUT_S: Final = 2.0
+POLL_S: Final = 0.25
+# The store's call rate is bounded for the whole fleet, so that rosters are read
+# again rarely while the tool waits.
+ROSTER_READ_S: Final = 1.0
+CONCURRENT_CALLS: Final = 64
+
+Reply = TypeVar("Reply")
+Item = TypeVar("Item")
+Result = TypeVar("Result")
+
+
+class FleetAccess:
+    """How to reach a fleet: its store, its secret, and its nodes.
+
+    `seeds` are control addresses to ask for the nodes when the store is down.
+    """
+
+    __slots__ = ("clock", "secret", "seeds", "store", "timeout_s", "tls")
+
+    def __init__(
+        self,
+        store: Store,
+        secret: bytes,
+        timeout_s: float = 20.0,
+        seeds: Iterable[str] = (),
+        tls: ssl.SSLContext | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        self.store = store
+        self.secret = secret
+        self.timeout_s = timeout_s
+        self.seeds = list(seeds)
+        self.tls = tls
+        self.clock = clock or SystemClock()
+
+    async def call(self, address: str, request: Any, reply_type: type[Reply]) -> Reply:
+        """Call one node; see ControlClient.call for the errors."""
+        client = ControlClient(address, self.secret, self.clock, self.tls)
+        try:
+            timeout_s = min(CALL_TIMEOUT_S, self.timeout_s)
+            return await client.call(request, reply_type, timeout_s)
+        finally:
+            client.close()
+
+
+class Node(msgspec.Struct, frozen=True, order=True):
+    """One node of the fleet and its control address."""
+
+    service: str
+    name: str
+    control: str
+    failure_domain: str = ""
+
+
+class NodeState(msgspec.Struct, frozen=True):
+    """Status of one node, or why it could not be read."""
+
+    node: Node
+    status: StatusReply | None = None
+    error: str = ""
+
+
+class KeyRow(msgspec.Struct, frozen=True):
+    """One key as the store knows it."""
+
+    key_id: str
+    organisation: str
+    withdrawn: bool
+
+
+class Rollout(msgspec.Struct, frozen=True):
+    """An accepted change, and the nodes that do not confirm it yet."""
+
+    revision: int
+    change_id: str
+    changed: bool
+    nodes: int
+    unconfirmed: list[NodeState]
+    # The new key; empty for other changes.
+    key: str = ""
+
+
+def check(path: str) -> str:
+    """Check a file; return whether it is a "declaration" or node "settings".
+
+    Raises an exception group of ConfigurationProblem.
+    """
+    table = load_toml(path)
+    if "node" in table or "listen" in table:
+        Settings.from_config(table, path)
+        return "settings"
+    Declaration.from_config(table, path)
+    return "declaration"
+
+
+async def diff(access: FleetAccess, path: str) -> Preview:
+    """Return what applying a declaration file would change."""
+    return await preview(access.store, Declaration.from_file(path))
+
+
+async def apply(
+    access: FleetAccess,
+    path: str,
+    author: str,
+    note: str,
+    base_revision: int | None = None,
+) -> Rollout:
+    """Apply a declaration file, push the change and wait for the nodes.
+
+    Raises the errors of heathermount.config.operations.apply_declaration.
+    """
+    declaration = Declaration.from_file(path)
+    # The nodes are read before the write: the push must not need the store.
+    nodes = await find_nodes(access)
+    change = await apply_declaration(
+        access.store, declaration, author, note, base_revision
+    )
+    return await roll_out(access, change, nodes)
+
+
+async def add(access: FleetAccess, organisation: str, author: str) -> Rollout:
+    """Issue a key, push it and wait for the nodes."""
+    nodes = await find_nodes(access)
+    key, change = await add_key(access.store, organisation, author, access.secret)
+    rollout = await roll_out(access, change, nodes)
+    return msgspec.structs.replace(rollout, key=key)
+
+
+async def withdraw(access: FleetAccess, key_id: str, author: str) -> Rollout:
+    """Withdraw a key, push that and wait for the nodes."""
+    nodes = await find_nodes(access)
+    change = await withdraw_key(access.store, key_id, author)
+    return await roll_out(access, change, nodes)
+
+
+async def list_keys(access: FleetAccess) -> list[KeyRow]:
+    """Return all keys in the store, without secrets."""
+    document = (await read_document(access.store)).document
+    return [
+        KeyRow(
+            path.removeprefix("keys/"),
+            str(entry["organisation"]),
+            bool(entry.get("withdrawn", False)),
+        )
+        for path, entry in sorted(document.entries.items())
+        if path.startswith("keys/")
+    ]
+
+
+async def find_nodes(access: FleetAccess) -> list[Node]:
+    """Return all nodes by the rosters in the store, else by the seeds' rosters.
+
+    Raises StoreUnavailable when the store does not answer and no seed does.
+    """
+    try:
+        records = await access.store.get_prefix(ROSTER_PREFIX)
+    except StoreUnavailable:
+        nodes = await ask_seeds(access)
+        if not nodes:
+            raise
+        return nodes
+    return list_nodes(decode_roster(item.value) for item in records.values())
+
+
+def list_nodes(rosters: Iterable[RosterRecord]) -> list[Node]:
+    return sorted(
+        {make_node(roster, member) for roster in rosters for member in roster.members}
+    )
+
+
+def make_node(roster: RosterRecord, member: MemberRecord) -> Node:
+    return Node(roster.service, member.node, member.control, member.failure_domain)
+
+
+async def ask_seeds(access: FleetAccess) -> list[Node]:
+    """Return the nodes of the seeds' services, by the seeds' own rosters."""
+    rosters = await map_concurrently(
+        access.seeds, lambda seed: fetch_roster(access, seed)
+    )
+    return list_nodes(roster for roster in rosters if roster is not None)
+
+
+async def fetch_roster(access: FleetAccess, seed: str) -> RosterRecord | None:
+    try:
+        status = await access.call(seed, StatusRequest(), StatusReply)
+        reply = await access.call(seed, RosterRequest(status.service), RosterReply)
+    except PeerError:
+        return None
+    return decode_roster(reply.roster) if reply.roster else None
+
+
+async def read_states(access: FleetAccess, nodes: Iterable[Node]) -> list[NodeState]:
+    """Return the status of nodes, in their order."""
+
+    async def read(node: Node) -> NodeState:
+        try:
+            status = await access.call(node.control, StatusRequest(), StatusReply)
+        except PeerError as error:
+            return NodeState(node, error=str(error))
+        return NodeState(node, status)
+
+    return await map_concurrently(nodes, read)
+
+
+async def drain(access: FleetAccess, name: str, draining: bool) -> DrainReply:
+    """Take the backend server of a node out of service, or put it back.
+
+    Raises ConfigurationProblem for an unknown node, PeerError when the node
+    does not take the request.
+    """
+    nodes = [node for node in await find_nodes(access) if node.name == name]
+    if not nodes:
+        raise ConfigurationProblem(
+            "nodes", name, "is in no roster", "run status and name one of its nodes"
+        )
+    return await access.call(nodes[0].control, DrainRequest(draining), DrainReply)
+
+
+async def collect_timeline(
+    access: FleetAccess, since_us: int
+) -> tuple[list[Event], list[NodeState]]:
+    """Return all nodes' events in causal order, and the nodes that failed."""
+    failed: list[NodeState] = []
+
+    async def read(node: Node) -> list[Event]:
+        request = TimelineRequest(since_us)
+        try:
+            reply = await access.call(node.control, request, TimelineReply)
+        except PeerError as error:
+            failed.append(NodeState(node, error=str(error)))
+            return []
+        return reply.events
+
+    logs = await map_concurrently(await find_nodes(access), read)
+    return merge_events(logs), sorted(failed, key=lambda state: state.node)
+
+
+async def roll_out(access: FleetAccess, change: Change, nodes: list[Node]) -> Rollout:
+    """Push an accepted change and wait until the nodes have it, or the timeout."""
+    # A change without effect was not written and is not pushed, but nodes may
+    # still be behind the revision that made it unnecessary.
+    changed = bool(change.sets or change.removes)
+    if changed:
+        await push(access, change, nodes)
+    unconfirmed = await wait_confirmed(access, change, nodes)
+    return Rollout(change.revision, change.change_id, changed, len(nodes), unconfirmed)
+
+
+async def push(access: FleetAccess, change: Change, nodes: list[Node]) -> None:
+    """Give a change to up to three nodes of every service."""
+    request = PushRequest(msgspec.msgpack.encode(change))
+    services: dict[str, list[Node]] = {}
+    for node in nodes:
+        services.setdefault(node.service, []).append(node)
+
+    async def push_service(members: list[Node]) -> None:
+        accepted = 0
+        for node in members:
+            if accepted == PUSHES_PER_SERVICE:
+                return
+            try:
+                await access.call(node.control, request, PushReply)
+            except PeerError:
+                # The next member takes its place; wait_confirmed reports it.
+                continue
+            accepted += 1
+
+    await map_concurrently(services.values(), push_service)
+
+
+async def wait_confirmed(
+    access: FleetAccess, change: Change, nodes: list[Node]
+) -> list[NodeState]:
+    """Wait until nodes report a change; return those that do not in time.
+
+    A node that leaves its roster meanwhile is no longer waited for.
+    """
+    started = read_at = access.clock.monotonic()
+    waiting = nodes
+    while True:
+        states = await read_states(access, waiting)
+        missing = [state for state in states if not has_change(state, change)]
+        now = access.clock.monotonic()
+        if not missing or now - started >= access.timeout_s:
+            return missing
+        waiting = [state.node for state in missing]
+        if now - read_at >= ROSTER_READ_S:
+            read_at = now
+            waiting = await keep_members(access, waiting)
+        await anyio.sleep(POLL_S)
+
+
+def has_change(state: NodeState, change: Change) -> bool:
+    status = state.status
+    if status is None:
+        return False
+    if status.revision == change.revision:
+        return status.change_id == change.change_id
+    return status.revision > change.revision
+
+
+async def keep_members(access: FleetAccess, nodes: list[Node]) -> list[Node]:
+    """Return the nodes that are still members; all of them without the store."""
+    try:
+        members = set(await find_nodes(access))
+    except (StoreUnavailable, InvalidMessage):
+        # The change is accepted by now, so that no failure may hide that.
+        return nodes
+    return [node for node in nodes if node in members]
+
+
+async def map_concurrently(
+    items: Iterable[Item], function: Callable[[Item], Awaitable[Result]]
+) -> list[Result]:
+    """Return the function's results in the order of the items."""
+    limiter = anyio.CapacityLimiter(CONCURRENT_CALLS)
+    results: dict[int, Result] = {}
+
+    async def run(position: int, item: Item) -> None:
+        async with limiter:
+            results[position] = await function(item)
+
+    async with anyio.create_task_group() as tasks:
+        for position, item in enumerate(items):
+            tasks.start_soon(run, position, item)
+    return [results[position] for position in sorted(results)]
--- /dev/null
+++ b/src/heathermount/cli/output.py
@@ -0,0 +1,156 @@
+"""Prints results of the operators' tool as text or as JSON."""
+
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any, Final
+
+import msgspec
+
+from heathermount.cli.actions import KeyRow, NodeState, Rollout
+from heathermount.config.operations import Preview
+from heathermount.events import Event, format_event
+from heathermount.wire.control import DrainReply
+
+__all__ = ["Printer"]
+
+Row = tuple[str, ...]
+
+HEADINGS: Final[Row] = (
+    "service",
+    "node",
+    "domain",
+    "revision",
+    "age",
+    "state",
+    "control",
+)
+
+
+class Printer:
+    """Writes results to standard output and problems to standard error."""
+
+    __slots__ = ("_json",)
+
+    def __init__(self, as_json: bool) -> None:
+        self._json = as_json
+
+    def problem(self, error: BaseException) -> None:
+        """Print an error, or each error of a group, as one line of text."""
+        if isinstance(error, BaseExceptionGroup):
+            for part in error.exceptions:
+                self.problem(part)
+            return
+        print(f"error: {error}", file=sys.stderr)
+
+    def checked(self, path: str, kind: str) -> None:
+        self._write({"file": path, "kind": kind}, [f"{path}: valid {kind}"])
+
+    def diff(self, change: Preview) -> None:
+        lines = [f"+ {path} = {to_json(change.sets[path])}" for path in change.sets]
+        lines += [f"- {path}" for path in change.removes]
+        lines.append(
+            f"{len(change.sets)} set, {len(change.removes)} removed "
+            f"against revision {change.revision}"
+        )
+        self._write(change._asdict(), lines)
+
+    def rollout(self, rollout: Rollout) -> None:
+        lines = [rollout.key] if rollout.key else []
+        if rollout.changed:
+            lines.append(f"revision {rollout.revision} change {rollout.change_id}")
+        else:
+            lines.append(f"no difference to revision {rollout.revision}")
+        confirmed = rollout.nodes - len(rollout.unconfirmed)
+        lines.append(f"confirmed by {confirmed} of {rollout.nodes} nodes")
+        lines += [describe_missing(state) for state in rollout.unconfirmed]
+        self._write(rollout, lines)
+
+    def states(self, states: Sequence[NodeState]) -> None:
+        rows = [HEADINGS, *map(make_row, states)]
+        self._write(states, align(rows))
+
+    def keys(self, keys: Sequence[KeyRow]) -> None:
+        rows = [("key", "organisation", "state")]
+        for key in keys:
+            state = "withdrawn" if key.withdrawn else "usable"
+            rows.append((key.key_id, key.organisation, state))
+        self._write(keys, align(rows))
+
+    def drained(self, node: str, draining: bool, reply: DrainReply) -> None:
+        state = "draining" if draining else "in service"
+        fields = {"node": node, "draining": draining, "running": reply.running}
+        self._write(fields, [f"{node} {state}, {reply.running} requests running"])
+
+    def timeline(self, events: Iterable[Event]) -> None:
+        """Print one line for each event."""
+        for event in events:
+            if self._json:
+                print(to_json(msgspec.structs.asdict(event)))
+            else:
+                print(f"{event.wall_us}.{event.counter} {format_event(event)}")
+
+    def unreachable(self, states: Iterable[NodeState]) -> None:
+        for state in states:
+            print(f"warning: {state.node.name}: {state.error}", file=sys.stderr)
+
+    def _write(self, value: Any, lines: Iterable[str]) -> None:
+        print(to_json(value) if self._json else "\n".join(lines))
+
+
+def to_json(value: Any) -> str:
+    # Messages are arrays on the wire; here they become objects with names.
+    return msgspec.json.encode(name_fields(value)).decode()
+
+
+def name_fields(value: Any) -> Any:
+    if isinstance(value, msgspec.Struct):
+        return name_fields(msgspec.structs.asdict(value))
+    if isinstance(value, dict):
+        return {key: name_fields(part) for key, part in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [name_fields(part) for part in value]
+    return value
+
+
+def describe_missing(state: NodeState) -> str:
+    node = f"not confirmed: {state.node.name} ({state.node.control})"
+    if state.status is None:
+        return f"{node}: {state.error}"
+    return f"{node}: has revision {state.status.revision}"
+
+
+def make_row(state: NodeState) -> Row:
+    node = state.node
+    if state.status is None:
+        condition = f"unreachable: {state.error}"
+        row = (node.failure_domain, "-", "-", condition)
+    else:
+        status = state.status
+        row = (
+            status.failure_domain,
+            str(status.revision),
+            f"{status.revision_age_s:.1f} s",
+            describe_condition(state),
+        )
+    return (node.service, node.name, *row, node.control)
+
+
+def describe_condition(state: NodeState) -> str:
+    status = state.status
+    if status is None:
+        return "unreachable"
+    notes = ["draining"] if status.draining else []
+    if not status.fresh:
+        notes.append("stale")
+    notes += [f"violated {name}" for name in status.violations]
+    return ", ".join(notes) or "ok"
+
+
+def align(rows: Sequence[Sequence[str]]) -> list[str]:
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    ]
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,278 @@
+"""The operators' tool: what it changes, waits for, prints and returns."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from absl import flags
+from heathermount.config.documents import decode_change
+from heathermount.standins.store import FakeStore, StoreState
+
+from builders_operations import SECRET, run_control
+from heathermount.cli import actions
+from heathermount.cli.actions import FleetAccess
+from heathermount.cli.control import (
+    ExitCode,
+    define_flags,
+    execute,
+    find_code,
+    parse_flags,
+)
+from heathermount.cli.output import Printer
+from heathermount.cli.rosters import MemberRecord, RosterRecord
+from heathermount.clocks import SystemClock
+from heathermount.errors import (
+    ConfigurationProblem,
+    ConflictingChange,
+    PeerRefused,
+    PeerRejected,
+    PeerTimeout,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from heathermount.events import Event
+from heathermount.wire.control import (
+    ControlServer,
+    DrainReply,
+    DrainRequest,
+    PushReply,
+    PushRequest,
+    StatusReply,
+    StatusRequest,
+    TimelineReply,
+    TimelineRequest,
+)
+
+pytestmark = pytest.mark.anyio
+
+DECLARATION = """
+version = 1
+failure_domains = ["a", "b", "c"]
+[[routes]]
+name = "stock"
+service = "pantry"
+path = "/pantry/stock"
+[[organisations]]
+name = "cart-1"
+"""
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@pytest.fixture
+def declaration(tmp_path: Path) -> str:
+    path = tmp_path / "fleet.toml"
+    path.write_text(DECLARATION)
+    return str(path)
+
+
+class FakeNode:
+    """Control service of a node that learns changes by push only."""
+
+    def __init__(self, name: str, learns: bool = True) -> None:
+        self.name = name
+        self.learns = learns
+        self.revision = 0
+        self.change_id = ""
+        self.pushes = 0
+        self.draining = False
+
+    def __getattr__(self, name: str) -> Any:
+        if name.startswith("__"):
+            raise AttributeError(name)
+        return None
+
+    async def push(self, request: PushRequest) -> PushReply:
+        self.pushes += 1
+        change = decode_change(request.change)
+        if self.learns:
+            self.revision, self.change_id = change.revision, change.change_id
+        return PushReply(self.revision)
+
+    async def status(self, request: StatusRequest) -> StatusReply:
+        state = (self.revision, self.change_id, 0.5, True, self.draining)
+        return StatusReply(self.name, "1", "pantry", "a", *state, [], [], {})
+
+    async def drain(self, request: DrainRequest) -> DrainReply:
+        self.draining = request.draining
+        return DrainReply(3)
+
+    async def timeline(self, request: TimelineRequest) -> TimelineReply:
+        position = int(self.name[-1])
+        return TimelineReply([Event(10 - position, 0, self.name, "start", {})])
+
+
+@asynccontextmanager
+async def run_fleet(*nodes: FakeNode, gone: int = 0) -> AsyncIterator[FleetAccess]:
+    """Run nodes on loopback; `gone` more have an entry in the roster only."""
+    store = FakeStore(StoreState(SystemClock()))
+    members: list[MemberRecord] = []
+    servers: list[ControlServer] = []
+    for node in nodes:
+        service: Any = node
+        server = ControlServer(service, SECRET, SystemClock())
+        address = await server.start("127.0.0.1", 0)
+        servers.append(server)
+        members.append(MemberRecord(node.name, "1", "", address, "a"))
+    for position in range(gone):
+        async with run_control(ControlServer(service, SECRET, SystemClock())) as lost:
+            pass
+        members.append(MemberRecord(f"gone-{position}", "1", "", lost, "b"))
+    roster = msgspec.msgpack.encode(RosterRecord("pantry", 1, members))
+    await store.commit({}, {"roster/pantry": roster})
+    try:
+        yield FleetAccess(store, SECRET, timeout_s=0.3)
+    finally:
+        for server in servers:
+            await server.close()
+
+
+async def test_apply_pushes_to_three_nodes_and_waits(declaration: str) -> None:
+    """Guards against an accepted change that waits for the store to be read."""
+    nodes = [FakeNode(f"pantry-{i}") for i in range(3)]
+    slow = FakeNode("pantry-9", learns=False)
+    async with run_fleet(*nodes, slow, gone=1) as access:
+        rollout = await actions.apply(access, declaration, "anna", "first")
+        again = await actions.apply(access, declaration, "anna", "again")
+    pushed = [node.pushes for node in [*nodes, slow]]
+    assert (rollout.revision, rollout.changed, rollout.nodes) == (1, True, 5)
+    assert sum(pushed) == 3
+    assert [s.node.name for s in rollout.unconfirmed] == ["gone-0", "pantry-9"]
+    assert not again.changed
+
+
+async def test_push_replaces_a_node_that_is_gone(declaration: str) -> None:
+    """Guards against a withdrawal that reaches fewer nodes after a crash."""
+    nodes = [FakeNode(f"pantry-{i}") for i in range(4)]
+    async with run_fleet(*nodes, gone=2) as access:
+        await actions.apply(access, declaration, "anna", "first")
+    assert sum(node.pushes for node in nodes) == 3
+
+
+async def test_key_life(declaration: str) -> None:
+    """Guards against a withdrawn key that is still listed as usable."""
+    node = FakeNode("pantry-1")
+    async with run_fleet(node) as access:
+        await actions.apply(access, declaration, "anna", "first")
+        added = await actions.add(access, "cart-1", "anna")
+        (row,) = await actions.list_keys(access)
+        assert added.key.startswith(f"hm_{row.key_id}_")
+        assert not row.withdrawn
+        withdrawn = await actions.withdraw(access, row.key_id, "anna")
+        assert not withdrawn.unconfirmed
+        assert (await actions.list_keys(access))[0].withdrawn
+        with pytest.raises(ConfigurationProblem):
+            await actions.withdraw(access, "unknown", "anna")
+
+
+async def test_conflicting_apply_names_the_other_change(declaration: str) -> None:
+    """Guards against two operators who overwrite each other."""
+    async with run_fleet(FakeNode("pantry-1")) as access:
+        await actions.apply(access, declaration, "anna", "first")
+        with pytest.raises(ConflictingChange) as caught:
+            await actions.apply(access, declaration, "ben", "late", base_revision=0)
+    assert caught.value.author == "anna"
+
+
+async def test_drain_timeline_and_diff(declaration: str, capsys: Any) -> None:
+    """Guards against events out of order and a drain of the wrong node."""
+    nodes = [FakeNode("pantry-1"), FakeNode("pantry-2")]
+    async with run_fleet(*nodes, gone=1) as access:
+        reply = await actions.drain(access, "pantry-2", True)
+        assert (reply.running, nodes[0].draining, nodes[1].draining) == (3, False, True)
+        with pytest.raises(ConfigurationProblem):
+            await actions.drain(access, "pantry-7", True)
+        with pytest.raises(PeerRefused):
+            await actions.drain(access, "gone-0", True)
+        events, failed = await actions.collect_timeline(access, 0)
+        assert [event.node for event in events] == ["pantry-2", "pantry-1"]
+        assert [state.node.name for state in failed] == ["gone-0"]
+        printer = Printer(as_json=True)
+        printer.diff(await actions.diff(access, declaration))
+        printer.states(
+            await actions.read_states(access, await actions.find_nodes(access))
+        )
+    preview, states = map(msgspec.json.decode, capsys.readouterr().out.splitlines())
+    assert "organisations/cart-1" in preview["sets"]
+    assert [state["status"] and state["status"]["draining"] for state in states] == [
+        None,
+        False,
+        True,
+    ]
+
+
+ERRORS = [
+    (ConflictingChange(3, "c", "ben"), ExitCode.NOT_ACCEPTED),
+    (PeerRejected("UNAUTHENTICATED", ""), ExitCode.NOT_ACCEPTED),
+    (PeerRefused(), ExitCode.NOT_ACCEPTED),
+    (PeerTimeout(), ExitCode.NO_ANSWER),
+    (StoreUnavailable(), ExitCode.NO_ANSWER),
+    (StoreOutcomeUnknown(), ExitCode.NO_ANSWER),
+    (
+        ExceptionGroup("", [ConfigurationProblem("f", "k", "p", "r")]),
+        ExitCode.BAD_INPUT,
+    ),
+    (KeyError(), None),
+]
+
+
+@pytest.mark.parametrize(("error", "code"), ERRORS)
+def test_errors_have_their_exit_code(error: Exception, code: ExitCode | None) -> None:
+    """Guards against a script that takes a lost change for an accepted one."""
+    assert find_code(error) == code
+
+
+COMMANDS = [
+    ("check {good}", ExitCode.OK),
+    ("check {bad}", ExitCode.BAD_INPUT),
+    ("check {missing}", ExitCode.BAD_INPUT),
+    ("check", ExitCode.BAD_INPUT),
+    ("diff {good}", ExitCode.NO_ANSWER),
+    ("diff {bad}", ExitCode.BAD_INPUT),
+    ("status", ExitCode.BAD_INPUT),
+    ("status --fleet_secret_file={secret}", ExitCode.NO_ANSWER),
+    ("--fleet_secret_file={secret} drain pantry-1", ExitCode.NO_ANSWER),
+    ("apply {good} --fleet_secret_file={secret} --author=anna", ExitCode.BAD_INPUT),
+    ("key add --fleet_secret_file={secret}", ExitCode.BAD_INPUT),
+    ("key", ExitCode.BAD_INPUT),
+    ("key list --store=localhost:1", ExitCode.BAD_INPUT),
+    ("status --no_such_flag", ExitCode.BAD_INPUT),
+    ("frobnicate", ExitCode.BAD_INPUT),
+    ("", ExitCode.BAD_INPUT),
+    ("--help", ExitCode.OK),
+]
+
+
+@pytest.mark.parametrize(("command", "code"), COMMANDS)
+def test_command_line(
+    command: str, code: ExitCode, tmp_path: Path, declaration: str, capsys: Any
+) -> None:
+    """Guards against a wrong exit code, and an error without a remedy."""
+    bad = tmp_path / "bad.toml"
+    bad.write_text("version = 2")
+    secret = tmp_path / "secret"
+    secret.write_bytes(SECRET)
+    names = {
+        "good": declaration,
+        "bad": bad,
+        "missing": tmp_path / "x",
+        "secret": secret,
+    }
+    values = flags.FlagValues()
+    define_flags(values)
+    # Nothing listens on port 1, so that the store does not answer.
+    argv = ["heathermountctl", "--store=127.0.0.1:1", *command.format(**names).split()]
+    try:
+        result = execute(values, parse_flags(values, argv)[1:])
+    except SystemExit as end:
+        result = end.code
+    output = capsys.readouterr()
+    assert result == code
+    assert (code == ExitCode.OK) == bool(output.out)
+    assert (code != ExitCode.OK) == bool(output.err)
