--- /dev/null
+++ b/src/heathermount/claims/table.py
@@ -0,0 +1,340 @@
+"""Owner side of at-most-once execution: the claims of one partition."""
+
+from collections.abc import Callable
+from enum import IntEnum
+from functools import singledispatchmethod
+from typing import Any, Final
+
+import msgspec
+
+from heathermount.claims.bodies import BodyBudget
+from heathermount.clocks import Clock
+from heathermount.invariants import Invariants
+from heathermount.ownership import NotOwner, Partition
+from heathermount.values import Outcome
+from heathermount.wire.messages import (
+    Claim,
+    ClaimReply,
+    ClaimUpdated,
+    Headers,
+    Settle,
+    UnclaimKey,
+)
+
+__all__ = ["MAX_ANSWER_BYTES", "SKEW_S", "ClaimTable"]
+
+# Longest response that is held for a replay.
+MAX_ANSWER_BYTES: Final = 64 * 1024
+# Allowed difference between the clocks of a caller and of an owner.
+SKEW_S: Final = 2.0
+# A key is granted up to SKEW_S before its time of issue, and the clocks of two
+# owners may differ by SKEW_S as well.
+TAKEOVER_MARGIN_S: Final = 2 * SKEW_S
+# A released key stays known this long, so that a late copy of its claim does
+# not take it again.
+RELEASED_S: Final = 10.0
+
+
+class State(IntEnum):
+    """What the owner knows about a key."""
+
+    CLAIMED = 0
+    SETTLED = 1
+
+
+class Entry(msgspec.Struct, array_like=True):
+    """One key. `touched_at` is monotonic; in a dump it is the age in seconds."""
+
+    key: bytes
+    state: State
+    caller: str
+    call_id: bytes
+    request_digest: bytes
+    touched_at: float
+    status: int = 0
+    headers: Headers = []
+    body: bytes = b""
+    outcome: str = ""
+    answer_held: bool = False
+
+    def is_held_by(self, caller: str, call_id: bytes) -> bool:
+        return (self.caller, self.call_id) == (caller, call_id)
+
+    def drop_answer(self) -> None:
+        self.headers, self.body, self.answer_held = [], b"", False
+
+
+class Released(msgspec.Struct, array_like=True):
+    """A key that its call gave up. In a dump `released_at` is the age in seconds.
+
+    `was_held` tells that the call held the key, so that the key has certainly
+    not run. Otherwise only that call's own late claim is refused.
+    """
+
+    key: bytes
+    caller: str
+    call_id: bytes
+    was_held: bool
+    released_at: float
+
+
+class SavedClaims(msgspec.Struct, array_like=True):
+    """State of a table for its next owner.
+
+    `taken_at` (seconds since the Unix epoch) is the time of the last takeover
+    without state, and `taken_age_s` its age; both are 0 without one.
+    """
+
+    entries: list[Entry]
+    released: list[Released]
+    taken_at: float
+    taken_age_s: float
+
+
+class ClaimTable:
+    """Decides which call may run for a key.
+
+    Every decision is one step without an await, which also checks that this
+    process owns the partition.
+    """
+
+    def __init__(
+        self,
+        partition: Partition,
+        clock: Clock,
+        invariants: Invariants,
+        bodies: BodyBudget,
+        is_dead: Callable[[str], bool],
+        retention_s: Callable[[], float],
+    ) -> None:
+        """Make an empty table.
+
+        `is_dead` tells whether a caller ("<node>/<incarnation>") has ended, and
+        `retention_s` returns how long a key is remembered.
+        """
+        self.partition = partition
+        self._clock = clock
+        self._invariants = invariants
+        self._bodies = bodies
+        self._is_dead = is_dead
+        self._retention_s = retention_s
+        # In order of `touched_at`.
+        self._entries: dict[bytes, Entry] = {}
+        # In order of `released_at`.
+        self._released: dict[bytes, Released] = {}
+        self._taken_at = 0.0
+        self._taken_monotonic = float("-inf")
+        if not partition.fresh_start:
+            self._taken_at = partition.taken_at
+            self._taken_monotonic = clock.monotonic()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @singledispatchmethod
+    def handle(self, message: Any) -> Any:
+        """Decide a Claim, or record a Settle or UnclaimKey.
+
+        Raises NotOwner for Settle and UnclaimKey when this process does not own
+        the partition now; a Claim is answered `moved` then.
+        """
+        raise TypeError(f"claim tables do not handle {type(message).__name__}")
+
+    @handle.register
+    def _(self, message: Claim) -> ClaimReply:
+        if not self.partition.owns():
+            return ClaimReply("moved")
+        self._expire()
+        entry = self._entries.get(message.key)
+        if entry is not None:
+            return self._answer_known(entry, message)
+        released = self._released.get(message.key)
+        if released is not None and released.call_id == message.call_id:
+            # The call gave the claim up; this is a late copy of its message.
+            return ClaimReply("unknown", outcome=Outcome.UNKNOWN)
+        was_held = released is not None and released.was_held
+        if not was_held and self._may_have_run(message.issued_at):
+            return ClaimReply("unknown", outcome=Outcome.UNKNOWN)
+        self._put(
+            Entry(
+                message.key,
+                State.CLAIMED,
+                message.caller,
+                message.call_id,
+                message.request_digest,
+                self._clock.monotonic(),
+            )
+        )
+        return ClaimReply("granted")
+
+    @handle.register
+    def _(self, message: Settle) -> ClaimUpdated:
+        self._check_owner()
+        self._expire()
+        if message.outcome == Outcome.NOT_RUN:
+            return self._release(message.key, message.caller, message.call_id)
+        entry = self._entries.get(message.key)
+        if entry is None:
+            # The claim was lost in a takeover. The request it was for is not
+            # known, so that its response must not be replayed.
+            self._put(self._make_settled(message, b"", answer_held=False))
+            return ClaimUpdated(known=False)
+        if not entry.is_held_by(message.caller, message.call_id):
+            self._invariants.check(
+                message.outcome != Outcome.RAN,
+                "one-call-runs-per-key",
+                partition=self.partition.name,
+            )
+            return ClaimUpdated(known=False)
+        if entry.state is State.CLAIMED:
+            held = message.answer_held and len(message.body) <= MAX_ANSWER_BYTES
+            self._put(self._make_settled(message, entry.request_digest, held))
+        return ClaimUpdated(known=True)
+
+    @handle.register
+    def _(self, message: UnclaimKey) -> ClaimUpdated:
+        self._check_owner()
+        self._expire()
+        return self._release(message.key, message.caller, message.call_id)
+
+    def _check_owner(self) -> None:
+        if not self.partition.owns():
+            raise NotOwner(f"{self.partition.name}: look up its owner again")
+
+    def _answer_known(self, entry: Entry, claim: Claim) -> ClaimReply:
+        if entry.request_digest and entry.request_digest != claim.request_digest:
+            return ClaimReply("mismatch")
+        if entry.state is State.SETTLED:
+            if entry.outcome == Outcome.UNKNOWN:
+                return ClaimReply("unknown", outcome=Outcome.UNKNOWN)
+            return ClaimReply(
+                "settled",
+                entry.status,
+                entry.headers,
+                entry.body,
+                entry.outcome,
+                entry.answer_held,
+            )
+        if entry.is_held_by(claim.caller, claim.call_id):
+            return ClaimReply("granted")
+        if self._is_dead(entry.caller):
+            return ClaimReply("unknown", outcome=Outcome.UNKNOWN)
+        return ClaimReply("running")
+
+    def _may_have_run(self, issued_at: float) -> bool:
+        """Tell whether a key that is not in the table may have been claimed before."""
+        now = self._clock.wall()
+        if issued_at <= 0:
+            age_s = self._clock.monotonic() - self._taken_monotonic
+            return age_s < self._retention_s() + TAKEOVER_MARGIN_S
+        # A key from the future would look as if it had been issued after a
+        # takeover that comes before its time.
+        if issued_at > now + SKEW_S:
+            return True
+        if issued_at < now - self._retention_s():
+            return True
+        return self._taken_at > 0 and issued_at <= self._taken_at + TAKEOVER_MARGIN_S
+
+    def _make_settled(
+        self, message: Settle, request_digest: bytes, answer_held: bool
+    ) -> Entry:
+        return Entry(
+            message.key,
+            State.SETTLED,
+            message.caller,
+            message.call_id,
+            request_digest,
+            self._clock.monotonic(),
+            message.status,
+            message.headers if answer_held else [],
+            message.body if answer_held else b"",
+            message.outcome,
+            answer_held,
+        )
+
+    def _release(self, key: bytes, caller: str, call_id: bytes) -> ClaimUpdated:
+        entry = self._entries.get(key)
+        if entry is not None and not entry.is_held_by(caller, call_id):
+            return ClaimUpdated(known=False)
+        if entry is not None and entry.state is State.SETTLED:
+            return ClaimUpdated(known=True)
+        previous = self._released.pop(key, None)
+        was_held = entry is not None or (previous is not None and previous.was_held)
+        now = self._clock.monotonic()
+        self._released[key] = Released(key, caller, call_id, was_held, now)
+        self._entries.pop(key, None)
+        return ClaimUpdated(known=entry is not None)
+
+    def _put(self, entry: Entry) -> None:
+        """Store an entry as the youngest one."""
+        self._released.pop(entry.key, None)
+        previous = self._entries.pop(entry.key, None)
+        self._invariants.check(
+            previous is None
+            or previous.state is not State.SETTLED
+            or entry.state is State.SETTLED,
+            "settled-stays-settled",
+            partition=self.partition.name,
+        )
+        self._entries[entry.key] = entry
+        name = self.partition.name
+        if entry.answer_held:
+            size = len(entry.body) + sum(len(k) + len(v) for k, v in entry.headers)
+            self._bodies.add(name, entry.key, size, entry.drop_answer)
+        elif previous is not None and previous.answer_held:
+            self._bodies.remove(name, entry.key)
+
+    def _expire(self) -> None:
+        """Forget entries that are older than the retention."""
+        now = self._clock.monotonic()
+        while self._released:
+            released = next(iter(self._released.values()))
+            if now < released.released_at + RELEASED_S:
+                break
+            del self._released[released.key]
+        # Keys by UUIDv7 are refused by their own age after the retention, which
+        # counts from their issue and by another clock.
+        retention_s = self._retention_s() + TAKEOVER_MARGIN_S
+        while self._entries:
+            entry = next(iter(self._entries.values()))
+            if now < entry.touched_at + retention_s:
+                return
+            del self._entries[entry.key]
+            self._bodies.remove(self.partition.name, entry.key)
+
+    def close(self) -> None:
+        """Give the memory of held responses back when the partition is lost."""
+        for key in self._entries:
+            self._bodies.remove(self.partition.name, key)
+        self._entries.clear()
+
+    def dump(self) -> bytes:
+        """Return all claims for the next owner."""
+        self._expire()
+        now = self._clock.monotonic()
+        entries = [
+            msgspec.structs.replace(entry, touched_at=now - entry.touched_at)
+            for entry in self._entries.values()
+        ]
+        released = [
+            msgspec.structs.replace(one, released_at=now - one.released_at)
+            for one in self._released.values()
+        ]
+        age_s = now - self._taken_monotonic if self._taken_at else 0.0
+        return msgspec.msgpack.encode(
+            SavedClaims(entries, released, self._taken_at, age_s)
+        )
+
+    def load(self, state: bytes) -> None:
+        """Continue with the claims of the previous owner."""
+        saved = msgspec.msgpack.decode(state, type=SavedClaims)
+        now = self._clock.monotonic()
+        if saved.taken_at:
+            self._taken_at = saved.taken_at
+            self._taken_monotonic = now - saved.taken_age_s
+        for entry in saved.entries:
+            age_s = entry.touched_at
+            self._put(msgspec.structs.replace(entry, touched_at=now - age_s))
+        for released in saved.released:
+            released.released_at = now - released.released_at
+            self._released[released.key] = released
--- a/src/heathermount/ownership/manager.py
+++ b/src/heathermount/ownership/manager.py
@@ -8,13 +8,13 @@
 from heathermount.clocks import Clock
 from heathermount.config.settings import TimingSettings
 from heathermount.errors import (
-    HeathermountError,
     InvalidMessage,
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
 from heathermount.events import EventLog
 from heathermount.invariants import Invariants
+from heathermount.ownership.candidacy import RENEWALS, Candidacy
 from heathermount.ownership.directory import Directory
 from heathermount.ownership.handover import Handover
 from heathermount.ownership.lease import Partition
@@ -25,29 +25,12 @@
     encode_record,
     make_key,
 )
-from heathermount.ownership.watch import (
-    HandOver,
-    PartitionHost,
-    PendingHandover,
-    Watch,
-)
+from heathermount.ownership.watch import HandOver, PartitionHost, Watch
 
 __all__ = ["OwnershipManager"]
 
 TICK_S: Final = 0.1
-# Candidates act one after the other, so that usually only one writes.
-RANK_DELAY_S: Final = 0.5
-# Candidates of a higher rank leave the regular reading to the first ones, so
-# that the store's reads do not grow with the size of a group.
-READING_RANKS: Final = 3
-VACANT_READ_S: Final = 5.0
-PROBE_S: Final = 1.0
 RETRY_S: Final = 1.0
-# The record of an accepted handover is usually written within milliseconds.
-PENDING_READ_S: Final = 0.1
-PENDING_S: Final = 5.0
-# Renewals within one term.
-RENEWALS: Final = 3
 
 
 class OwnershipManager:
@@ -61,6 +44,7 @@
 
     __slots__ = (
         "_busy",
+        "_candidacy",
         "_clock",
         "_directory",
         "_events",
@@ -69,14 +53,10 @@
         "_lapsed",
         "_next_renewal",
         "_owned",
-        "_pending",
         "_sleep",
         "_started",
         "_store",
         "_term_s",
-        "_watches",
-        "draining",
-        "identity",
     )
 
     def __init__(
@@ -90,8 +70,6 @@
         invariants: Invariants,
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
     ) -> None:
-        self.identity = identity
-        self.draining = False
         self._term_s = term_s
         self._store = store
         self._clock = clock
@@ -102,8 +80,9 @@
         self._directory = Directory(store, clock, host)
         self._owned: dict[str, Partition] = {}
         self._next_renewal: dict[str, float] = {}
-        self._watches: dict[str, Watch] = {}
-        self._pending: dict[str, PendingHandover] = {}
+        self._candidacy = Candidacy(
+            term_s, store, clock, identity, host, self._directory
+        )
         self._busy: set[str] = set()
         self._lapsed: set[str] = set()
         self._started: set[str] = set()
@@ -123,6 +102,18 @@
             timings.owner_term_s, store, clock, identity, host, events, invariants
         )
 
+    @property
+    def identity(self) -> NodeIdentity:
+        return self._candidacy.identity
+
+    @property
+    def draining(self) -> bool:
+        return self._candidacy.draining
+
+    def set_draining(self, draining: bool) -> None:
+        """Take no partition while draining; held ones stay owned."""
+        self._candidacy.draining = draining
+
     # Looking up owners.
 
     def find_owner(self, partition: str) -> OwnerRecord | None:
@@ -159,7 +150,11 @@
                 await anyio.sleep(TICK_S)
 
     def _names(self) -> list[str]:
-        return list(dict.fromkeys((*self._host.wanted(), *self._owned, *self._pending)))
+        return list(
+            dict.fromkeys(
+                (*self._host.wanted(), *self._owned, *self._candidacy.pending)
+            )
+        )
 
     async def advance(self, name: str) -> None:
         """Do what is due now for one partition; safe to call at any time."""
@@ -169,7 +164,7 @@
         try:
             partition = self._owned.get(name)
             if partition is None:
-                await self._consider(name, self._watches[name])
+                await self._consider(name, self._candidacy.watches[name])
             else:
                 await self._renew(partition)
         except (StoreUnavailable, StoreOutcomeUnknown):
@@ -183,8 +178,8 @@
     def _postpone(self, name: str) -> None:
         retry_at = self._clock.monotonic() + RETRY_S
         self._next_renewal[name] = retry_at
-        if name in self._watches:
-            self._watches[name].next_read = retry_at
+        if name in self._candidacy.watches:
+            self._candidacy.watches[name].next_read = retry_at
 
     def _is_due(self, name: str) -> bool:
         now = self._clock.monotonic()
@@ -192,17 +187,7 @@
         if partition is not None:
             self._note_lapse(partition)
             return not partition.frozen and now >= self._next_renewal.get(name, 0.0)
-        watch = self._watches.setdefault(name, Watch())
-        watch.update_rank(name, self.identity.node, self._host.candidates(name))
-        self._note_vacancy(name, watch, now)
-        if name in self._pending:
-            return now >= watch.next_read
-        if watch.rank is None or self.draining:
-            return False
-        if watch.vacant_since is None:
-            return now >= watch.next_read
-        acts_at = watch.vacant_since + watch.rank * RANK_DELAY_S
-        return now >= acts_at and now >= min(watch.next_read, watch.next_probe)
+        return self._candidacy.is_due(name)
 
     def _note_lapse(self, partition: Partition) -> None:
         """Record the time at which the term ended without a renewal, once."""
@@ -213,108 +198,30 @@
             self._lapsed.add(name)
             self._events.record("lease-lapsed", partition=name, epoch=partition.epoch)
 
-    def _note_vacancy(self, name: str, watch: Watch, now: float) -> None:
-        """Keep the time since which the holder is not among the live candidates."""
-        holder = self._holder(name, watch)
-        if watch.version is not None and holder is not None and self._is_live(holder):
-            watch.vacant_since = None
-        elif watch.vacant_since is None:
-            watch.vacant_since = now
-            watch.next_read = watch.next_probe = now
-
-    def _is_live(self, holder: OwnerRecord) -> bool:
-        if holder.names(self.identity):
-            # This process was named while it did not decide: it takes over.
-            return False
-        if holder.node not in self._host.candidates(holder.partition):
-            return False
-        identity = self._host.locate(holder.node)
-        return identity is None or identity.incarnation == holder.incarnation
-
-    def _holder(self, name: str, watch: Watch) -> OwnerRecord | None:
-        """Return the record with the highest epoch seen.
-
-        If the store came back with older data, its record does not name the
-        process that may still decide.
-        """
-        known = self._directory.find(name)
-        if watch.stored is None:
-            return known
-        if known is not None and known.epoch > watch.stored.epoch:
-            return known
-        return watch.stored
-
-    async def _read(self, name: str, watch: Watch) -> None:
-        sent_at = self._clock.monotonic()
-        value = await self._store.get(make_key(name))
-        now = self._clock.monotonic()
-        watch.observe(value, sent_at, now)
-        if watch.stored is not None:
-            self._directory.note(watch.stored)
-        self._schedule_reading(name, watch, now)
-
-    def _schedule_reading(self, name: str, watch: Watch, now: float) -> None:
-        pending = self._pending.get(name)
-        if pending is not None and now < pending.received_at + PENDING_S:
-            watch.next_read = now + PENDING_READ_S
-        elif watch.vacant_since is not None:
-            watch.next_read = now + VACANT_READ_S
-        elif watch.rank is not None and watch.rank < READING_RANKS:
-            watch.next_read = now + self._term_s / RENEWALS
-        else:
-            watch.next_read = now + self._term_s
-
     async def _consider(self, name: str, watch: Watch) -> None:
         """Take the partition if nobody can be deciding for it."""
         if watch.version is None or self._clock.monotonic() >= watch.next_read:
-            await self._read(name, watch)
-        self._drop_outdated_handover(name, watch)
-        version, holder = watch.version, self._holder(name, watch)
-        if not await self._is_free(name, watch, holder):
+            await self._candidacy.read(name, watch)
+        self._candidacy.drop_outdated_handover(name, watch)
+        version, holder = watch.version, self._candidacy.find_holder(name, watch)
+        if not await self._candidacy.is_free(name, watch, holder):
             return
         # The decision above was about this version and holds only for it.
-        await self._read(name, watch)
-        if watch.version != version or self._holder(name, watch) != holder:
+        await self._candidacy.read(name, watch)
+        if (
+            watch.version != version
+            or self._candidacy.find_holder(name, watch) != holder
+        ):
             return
         await self._acquire(name, watch, holder)
 
-    def _drop_outdated_handover(self, name: str, watch: Watch) -> None:
-        pending, holder = self._pending.get(name), self._holder(name, watch)
-        if pending is None or holder is None or holder.epoch <= pending.epoch:
-            return
-        if holder.epoch > pending.epoch + 1 or not holder.names(self.identity):
-            del self._pending[name]
-
-    async def _is_free(
-        self, name: str, watch: Watch, holder: OwnerRecord | None
-    ) -> bool:
-        if holder is not None and holder.names(self.identity):
-            return not self.draining or name in self._pending
-        if watch.rank is None or self.draining:
-            return False
-        if holder is None:
-            return True
-        now = self._clock.monotonic()
-        if watch.term_passed(holder, now):
-            return True
-        if self._is_live(holder) or now < watch.next_probe:
-            return False
-        watch.next_probe = now + PROBE_S
-        return await self._has_ended(holder)
-
-    async def _has_ended(self, holder: OwnerRecord) -> bool:
-        try:
-            return await self._host.probe(holder.address, holder.incarnation)
-        except HeathermountError:
-            return False
-
     async def _acquire(
         self, name: str, watch: Watch, holder: OwnerRecord | None
     ) -> None:
-        pending = self._pending.get(name)
+        pending = self._candidacy.pending.get(name)
         appointed = (
             holder is not None
-            and holder.names(self.identity)
+            and holder.names(self._candidacy.identity)
             and pending is not None
             and holder.epoch == pending.epoch + 1
         )
@@ -328,7 +235,7 @@
             self._start(record, sent_at, self._is_first(name, holder))
 
     def _make_record(self, name: str, epoch: int) -> OwnerRecord:
-        own = self.identity
+        own = self._candidacy.identity
         return OwnerRecord(
             name,
             own.node,
@@ -344,7 +251,7 @@
         if holder is None:
             return True
         # This process wrote the first record, and the answer was lost.
-        first = holder.epoch == 1 and holder.names(self.identity)
+        first = holder.epoch == 1 and holder.names(self._candidacy.identity)
         return first and name not in self._started
 
     async def _write(
@@ -363,7 +270,7 @@
                 {key: version}, {key: encode_record(record)}
             )
         except StoreOutcomeUnknown:
-            await self._read(name, watch)
+            await self._candidacy.read(name, watch)
             done = watch.version != version and watch.stored == record
             sent_at = read_at
         if not done:
@@ -373,12 +280,14 @@
 
     def _start(self, record: OwnerRecord, sent_at: float, first: bool) -> None:
         name = record.partition
-        pending = self._pending.get(name)
+        pending = self._candidacy.pending.get(name)
         handed_over = pending is not None and pending.epoch == record.epoch - 1
-        if not record.names(self.identity) or (self.draining and not handed_over):
+        if not record.names(self._candidacy.identity) or (
+            self._candidacy.draining and not handed_over
+        ):
             return
         state = pending.state if pending is not None and handed_over else None
-        self._pending.pop(name, None)
+        self._candidacy.pending.pop(name, None)
         deadline = sent_at + record.term_s
         fresh_start = first or handed_over
         partition = Partition(record, self._clock, deadline, fresh_start)
@@ -386,7 +295,7 @@
         self._owned[name] = partition
         self._started.add(name)
         self._next_renewal[name] = sent_at + self._term_s / RENEWALS
-        self._watches.pop(name, None)
+        self._candidacy.watches.pop(name, None)
         self._directory.note(record)
         self._events.record(
             "partition-acquired",
@@ -406,7 +315,7 @@
 
     async def _renew(self, partition: Partition) -> None:
         name, watch = partition.name, Watch()
-        await self._read(name, watch)
+        await self._candidacy.read(name, watch)
         stored = watch.stored
         if partition.ended or partition.frozen:
             return
@@ -440,25 +349,17 @@
 
     def accept_handover(self, partition: str, epoch: int, state: bytes) -> bool:
         """Hold the state of a partition until the store names this node its owner."""
-        known, pending = self._directory.find(partition), self._pending.get(partition)
-        if self.draining or partition in self._owned:
+        if partition in self._owned:
             return False
-        if known is not None and known.epoch > epoch:
-            return False
-        if pending is not None and pending.epoch > epoch:
-            return False
-        now = self._clock.monotonic()
-        self._pending[partition] = PendingHandover(epoch, state, now)
-        self._watches.setdefault(partition, Watch()).next_read = now
-        return True
+        return self._candidacy.hold(partition, epoch, state)
 
     async def release_all(self, hand_over: HandOver) -> None:
         """Hand all partitions over to other nodes and take none from now on.
 
         Partitions for which no successor was reached stay owned until `stop`.
         """
-        self.draining = True
-        for name in list(self._pending):
+        self._candidacy.draining = True
+        for name in list(self._candidacy.pending):
             await self.advance(name)
         async with anyio.create_task_group() as tasks:
             for partition in list(self._owned.values()):
@@ -466,7 +367,9 @@
 
     async def release(self, partition: Partition, hand_over: HandOver) -> None:
         """Hand one partition over; see release_all."""
-        handover = Handover(self._store, self._host, self.identity, self._sleep)
+        handover = Handover(
+            self._store, self._host, self._candidacy.identity, self._sleep
+        )
         successor = await handover.run(partition, hand_over)
         if successor is not None:
             self._directory.note(successor)
@@ -479,8 +382,8 @@
 
     def stop(self) -> None:
         """Stop deciding at once; call it before the peer listener closes."""
-        self.draining = True
-        self._pending.clear()
+        self._candidacy.draining = True
+        self._candidacy.pending.clear()
         for partition in list(self._owned.values()):
             self._lose(partition)
 
@@ -492,6 +395,6 @@
         """
         for partition in list(self._owned.values()):
             self._lose(partition)
-        self._pending.clear()
+        self._candidacy.pending.clear()
         self._started.clear()
-        self.identity = identity
+        self._candidacy.identity = identity
