Load the runner's own package in the processes it starts

A relative PYTHONPATH does not reach processes that run in the fleet's temporary directory. A process that ended before it was ready now fails the start at once.

--- a/src/heathermount/standins/fleet.py
+++ b/src/heathermount/standins/fleet.py
@@ -269,8 +269,9 @@
             while waiting:
                 ready = {name for name in waiting if await self.is_ready(name)}
                 waiting -= ready
-                if waiting:
-                    await anyio.sleep(POLL_S)
+                if not all(self.processes[name].running for name in waiting):
+                    break
+                await anyio.sleep(POLL_S if waiting else 0)
         if waiting:
             reports = [await self._describe_state(name) for name in sorted(waiting)]
             raise FleetNotReady("; ".join(reports))
--- a/src/heathermount/standins/processes.py
+++ b/src/heathermount/standins/processes.py
@@ -1,5 +1,6 @@
 """Processes that the fleet runner starts, and the ports reserved for them."""
 
+import os
 import signal
 import socket
 import subprocess
@@ -9,6 +10,8 @@
 
 import anyio
 
+import heathermount
+
 __all__ = ["ManagedProcess", "PortReservation"]
 
 POLL_S: Final = 0.02
@@ -69,6 +72,7 @@
             self._process = subprocess.Popen(
                 self._command,
                 cwd=self._directory,
+                env=make_environment(),
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -113,3 +117,9 @@
     def _send(self, number: signal.Signals) -> None:
         if self._process is not None and self.running:
             self._process.send_signal(number)
+
+
+def make_environment() -> dict[str, str]:
+    """Return an environment in which processes load this same package."""
+    source = str(Path(heathermount.__file__).resolve().parents[1])
+    return os.environ | {"PYTHONPATH": source}
