--- /dev/null
+++ b/src/heathermount/cli/daemon.py
@@ -0,0 +1,88 @@
+"""Command line of the daemon."""
+
+import signal
+import sys
+
+import anyio
+import uvloop
+from absl import app, flags, logging
+
+from heathermount.clocks import SystemClock
+from heathermount.config.settings import Settings
+from heathermount.errors import ConfigurationProblem
+from heathermount.node.node import Node
+from heathermount.node.parts import Parts
+from heathermount.store import EtcdStore
+
+__all__ = ["main", "run", "serve"]
+
+EXIT_BAD_SETTINGS = 2
+
+CONFIG = flags.DEFINE_string("config", None, "Settings file of this node (TOML).")
+CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit.")
+
+
+async def serve(settings: Settings, source: str) -> None:
+    """Run a node until SIGTERM or SIGINT; then stop it gracefully."""
+    parts = Parts.from_config(
+        settings, source, EtcdStore.from_config(settings.store), SystemClock()
+    )
+    async with anyio.create_task_group() as tasks:
+        node = Node(parts, tasks)
+        tasks.start_soon(stop_on_signal, node)
+        await node.run(lambda: None)
+        tasks.cancel_scope.cancel()
+
+
+async def stop_on_signal(node: Node) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            node.stop()
+
+
+def main(arguments: list[str]) -> int:
+    """Check the settings and serve; return the exit code.
+
+    0 after a graceful stop, 2 for settings that cannot be used.
+    """
+    if CONFIG.value is None or len(arguments) > 1:
+        print("usage: heathermountd --config FILE", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    try:
+        settings = Settings.from_file(CONFIG.value)
+        if CHECK.value:
+            print(f"{CONFIG.value}: ok")
+            return 0
+        anyio.run(
+            serve,
+            settings,
+            CONFIG.value,
+            backend="asyncio",
+            backend_options={"loop_factory": uvloop.new_event_loop},
+        )
+    except* ConfigurationProblem as problems:
+        for problem in flatten(problems):
+            print(problem, file=sys.stderr)
+        return_code = EXIT_BAD_SETTINGS
+    else:
+        return_code = 0
+    return return_code
+
+
+def flatten(group: BaseExceptionGroup[ConfigurationProblem]) -> list[BaseException]:
+    """Return the problems of nested exception groups."""
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        found += flatten(error) if isinstance(error, BaseExceptionGroup) else [error]
+    return found
+
+
+def run() -> None:
+    """Entry point of heathermountd."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/heathermount/membership/__init__.py
+++ b/src/heathermount/membership/__init__.py
@@ -1,1 +1,16 @@
-"""Placeholder."""
+"""Which nodes serve which service, and which of them are alive."""
+
+from heathermount.membership.directory import Directory
+from heathermount.membership.group import Group, PeerState
+from heathermount.membership.records import MemberRecord, RosterRecord, roster_key
+from heathermount.membership.roster import Roster
+
+__all__ = [
+    "Directory",
+    "Group",
+    "MemberRecord",
+    "PeerState",
+    "Roster",
+    "RosterRecord",
+    "roster_key",
+]
--- /dev/null
+++ b/src/heathermount/membership/directory.py
@@ -0,0 +1,105 @@
+"""Rosters of the services that this node calls."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from heathermount.clocks import Clock
+from heathermount.errors import PeerError, StoreUnavailable
+from heathermount.membership.records import RosterRecord, roster_key
+from heathermount.store import Store
+
+__all__ = ["Directory"]
+
+# A service's roster is read again after this long without a refresh, in seconds.
+REFRESH_S: Final = 10.0
+# Failures ask for a refresh; the store sees at most one read for each interval.
+MIN_REFRESH_S: Final = 0.5
+
+FetchRoster = Callable[[str, str], Awaitable[RosterRecord | None]]
+
+
+class Directory:
+    """Caches rosters; asks a node of the service first, then the store."""
+
+    __slots__ = (
+        "_clock",
+        "_fetch",
+        "_helpers",
+        "_random",
+        "_read_at",
+        "_records",
+        "_store",
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        fetch: FetchRoster,
+        helpers: Callable[[], list[str]],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._random = rng
+        # Asks the node at a control address for a service's roster.
+        self._fetch = fetch
+        # Control addresses of own group members, asked for unknown services.
+        self._helpers = helpers
+        self._records: dict[str, RosterRecord] = {}
+        self._read_at: dict[str, float] = {}
+
+    def get(self, service: str) -> RosterRecord | None:
+        return self._records.get(service)
+
+    def services(self) -> list[str]:
+        return list(self._records)
+
+    def stale(self, service: str, seen_revision: int = 0) -> bool:
+        """Tell whether the roster is unknown, outdated or due for a refresh."""
+        record = self._records.get(service)
+        age_s = self._clock.monotonic() - self._read_at.get(service, -1e9)
+        if record is None or seen_revision > record.revision:
+            return age_s >= MIN_REFRESH_S or record is None
+        return age_s >= REFRESH_S
+
+    async def refresh(self, service: str) -> RosterRecord | None:
+        """Read a roster again and return the newest one known."""
+        self._read_at[service] = self._clock.monotonic()
+        record = await self._from_peers(service)
+        if record is None:
+            record = await self._from_store(service)
+        if record is not None:
+            self.accept(record)
+        return self._records.get(service)
+
+    def accept(self, record: RosterRecord) -> None:
+        known = self._records.get(record.service)
+        if known is None or record.revision > known.revision:
+            self._records[record.service] = record
+
+    async def _from_peers(self, service: str) -> RosterRecord | None:
+        known = self._records.get(service)
+        addresses = [m.control for m in known.members] if known is not None else []
+        if addresses:
+            addresses = [self._random.choice(addresses)]
+        else:
+            addresses = self._helpers()[:1]
+        for address in addresses:
+            try:
+                record = await self._fetch(address, service)
+            except PeerError:
+                continue
+            if record is not None and record.members:
+                return record
+        return None
+
+    async def _from_store(self, service: str) -> RosterRecord | None:
+        try:
+            found = await self._store.get(roster_key(service))
+        except StoreUnavailable:
+            return None
+        if found is None:
+            return None
+        return RosterRecord.decode(found.value)
--- /dev/null
+++ b/src/heathermount/membership/group.py
@@ -0,0 +1,204 @@
+"""Heartbeats between the nodes of one service, one task for each peer."""
+
+import hashlib
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from heathermount.clocks import Clock
+from heathermount.errors import (
+    PeerError,
+    PeerRefused,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from heathermount.events import EventLog
+from heathermount.membership.records import MemberRecord
+from heathermount.membership.roster import Roster
+from heathermount.wire.link import LinkPool
+from heathermount.wire.messages import Heartbeat, HeartbeatReply
+
+__all__ = ["Group", "PeerState"]
+
+# A peer that did not answer for this long gets no new work, in seconds.
+SUSPECT_AFTER_S: Final = 1.5
+# A silent peer is removed from the roster after this long, in seconds.
+REMOVE_AFTER_S: Final = 15.0
+# Above this size a node sends heartbeats only to its successors on the ring.
+ALL_TO_ALL_MEMBERS: Final = 32
+RING_SUCCESSORS: Final = 8
+
+
+class PeerState:
+    """What this node knows of one peer of its group."""
+
+    __slots__ = ("answered_at", "dead", "known_since", "member", "reply")
+
+    def __init__(self, member: MemberRecord, now: float) -> None:
+        self.member = member
+        self.known_since = now
+        self.answered_at: float | None = None
+        self.reply: HeartbeatReply | None = None
+        # Proved by a refused connection or by another incarnation.
+        self.dead = False
+
+    def silent_s(self, now: float) -> float:
+        return now - (self.answered_at or self.known_since)
+
+    def alive(self, now: float) -> bool:
+        return not self.dead and self.silent_s(now) < SUSPECT_AFTER_S
+
+
+class Group:
+    """The live view of the own service's nodes."""
+
+    __slots__ = (
+        "_build",
+        "_clock",
+        "_events",
+        "_heard",
+        "_links",
+        "_period_s",
+        "_scopes",
+        "_tasks",
+        "node",
+        "peers",
+        "roster",
+    )
+
+    def __init__(
+        self,
+        node: str,
+        roster: Roster,
+        links: LinkPool,
+        clock: Clock,
+        events: EventLog,
+        period_s: float,
+        build: Callable[[], Heartbeat],
+        heard: Callable[[MemberRecord, HeartbeatReply, float], Awaitable[None]],
+    ) -> None:
+        self.node = node
+        self.roster = roster
+        self.peers: dict[str, PeerState] = {}
+        self._links = links
+        self._clock = clock
+        self._events = events
+        self._period_s = period_s
+        self._build = build
+        self._heard = heard
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._tasks: TaskGroup | None = None
+
+    def live_members(self) -> list[str]:
+        """Return the nodes that answer heartbeats, this one included if it joined."""
+        now = self._clock.monotonic()
+        live = [name for name, peer in self.peers.items() if peer.alive(now)]
+        if self.roster.record.find(self.node) is not None:
+            live.append(self.node)
+        return sorted(live)
+
+    def is_dead(self, caller: str) -> bool:
+        """Tell whether "<node>/<incarnation>" is a peer that certainly ended."""
+        node, _, incarnation = caller.partition("/")
+        peer = self.peers.get(node)
+        if peer is None:
+            return False
+        return peer.dead or peer.member.incarnation != incarnation
+
+    def reader(self) -> str:
+        """Return the live node that reads the store for the group."""
+        candidates = self.live_members() or [self.node]
+        return min(candidates, key=lambda node: reader_rank(self.roster.service, node))
+
+    def is_reader(self) -> bool:
+        return self.reader() in ("", self.node)
+
+    async def run(self) -> None:
+        """Keep one heartbeat task for each peer in the roster."""
+        async with anyio.create_task_group() as self._tasks:
+            while True:
+                self._follow_roster(self._tasks)
+                await self._remove_dead()
+                await anyio.sleep(self._period_s)
+
+    def _follow_roster(self, tasks: TaskGroup) -> None:
+        wanted = {m.node: m for m in self._monitored()}
+        for name in list(self.peers):
+            member = wanted.get(name)
+            if member is not None and member == self.peers[name].member:
+                continue
+            del self.peers[name]
+            self._scopes.pop(name).cancel()
+        for name, member in wanted.items():
+            if name not in self.peers:
+                peer = PeerState(member, self._clock.monotonic())
+                scope = anyio.CancelScope()
+                self.peers[name] = peer
+                self._scopes[name] = scope
+                tasks.start_soon(self._beat, peer, scope)
+
+    def _monitored(self) -> list[MemberRecord]:
+        members = self.roster.record.members
+        others = [m for m in members if m.node != self.node]
+        if len(members) <= ALL_TO_ALL_MEMBERS:
+            return others
+        later = [m for m in others if m.node > self.node]
+        earlier = [m for m in others if m.node < self.node]
+        return (later + earlier)[:RING_SUCCESSORS]
+
+    async def _beat(self, peer: PeerState, scope: anyio.CancelScope) -> None:
+        """Send heartbeats to one peer until it leaves the roster."""
+        with scope:
+            while True:
+                await self._beat_once(peer)
+                await anyio.sleep(self._period_s)
+
+    async def _beat_once(self, peer: PeerState) -> None:
+        sent_at = self._clock.monotonic()
+        try:
+            reply = await self._links.call(
+                peer.member.peers, self._build(), SUSPECT_AFTER_S
+            )
+        except PeerRefused:
+            self._mark_dead(peer, "connection-refused")
+            return
+        except PeerError:
+            return
+        if not isinstance(reply, HeartbeatReply):
+            return
+        if reply.incarnation != peer.member.incarnation:
+            self._mark_dead(peer, "other-incarnation")
+            return
+        peer.dead = False
+        peer.reply = reply
+        peer.answered_at = self._clock.monotonic()
+        self._events.observe(*reply.stamp)
+        await self._heard(peer.member, reply, sent_at)
+
+    def _mark_dead(self, peer: PeerState, proof: str) -> None:
+        if not peer.dead:
+            peer.dead = True
+            self._events.record("peer-dead", peer=peer.member.node, proof=proof)
+
+    async def _remove_dead(self) -> None:
+        """Take dead peers out of the roster if this node reads for the group."""
+        now = self._clock.monotonic()
+        gone = [
+            peer
+            for peer in self.peers.values()
+            if peer.dead or peer.silent_s(now) > REMOVE_AFTER_S
+        ]
+        if not gone or not self.is_reader():
+            return
+        for peer in gone:
+            try:
+                await self.roster.remove(peer.member.node, peer.member.incarnation)
+            except (StoreUnavailable, StoreOutcomeUnknown):
+                return
+
+
+def reader_rank(service: str, node: str) -> bytes:
+    """Rendezvous rank: the reader moves only when the reader itself leaves."""
+    return hashlib.blake2b(f"{service}/{node}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/heathermount/membership/roster.py
@@ -0,0 +1,93 @@
+"""The own service's roster: joins, leaves and removals by compare-and-swap."""
+
+import random
+from typing import Final
+
+import anyio
+
+from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
+from heathermount.events import EventLog
+from heathermount.membership.records import MemberRecord, RosterRecord, roster_key
+from heathermount.store import Store
+
+__all__ = ["Roster"]
+
+# Nodes of a group that start together race for the record; each retries after
+# a random part of this time, in seconds.
+RETRY_S: Final = 0.2
+
+
+class Roster:
+    """The roster of one service as last seen, and changes to it."""
+
+    __slots__ = ("_events", "_random", "_store", "record", "service")
+
+    def __init__(
+        self, service: str, store: Store, events: EventLog, rng: random.Random
+    ) -> None:
+        self.service = service
+        self.record = RosterRecord(service=service)
+        self._store = store
+        self._events = events
+        self._random = rng
+
+    def accept(self, record: RosterRecord) -> bool:
+        """Take a newer record; tell whether it was newer."""
+        if record.revision <= self.record.revision:
+            return False
+        self.record = record
+        self._events.record(
+            "roster-changed",
+            service=self.service,
+            revision=record.revision,
+            members=",".join(m.node for m in record.members),
+        )
+        return True
+
+    async def join(self, member: MemberRecord) -> None:
+        """Write the member into the roster; wait while the store is down."""
+        while True:
+            try:
+                if await self._try_join(member):
+                    return
+            except (StoreUnavailable, StoreOutcomeUnknown) as error:
+                self._events.record("roster-join-delayed", error=str(error))
+            await anyio.sleep(RETRY_S * (1 + self._random.random()))
+
+    async def _try_join(self, member: MemberRecord) -> bool:
+        version, record = await self._read()
+        if record.find(member.node) == member:
+            self.accept(record)
+            return True
+        return await self._write(version, record.with_member(member))
+
+    async def remove(self, node: str, incarnation: str) -> bool:
+        """Take one incarnation of a node out of the roster.
+
+        Returns False when another change came first. Raises StoreUnavailable
+        or StoreOutcomeUnknown; the caller tries again later.
+        """
+        version, record = await self._read()
+        member = record.find(node)
+        if member is None or member.incarnation != incarnation:
+            self.accept(record)
+            return True
+        return await self._write(version, record.without_member(node, incarnation))
+
+    async def _read(self) -> tuple[int, RosterRecord]:
+        found = await self._store.get(roster_key(self.service))
+        if found is None:
+            return 0, self.record
+        record = RosterRecord.decode(found.value)
+        if record.revision < self.record.revision:
+            # The store came back with older data: the group has seen a newer
+            # roster, and nobody would accept a lower revision.
+            record = self.record
+        return found.version, record
+
+    async def _write(self, version: int, record: RosterRecord) -> bool:
+        key = roster_key(self.service)
+        if not await self._store.commit({key: version}, {key: record.encode()}):
+            return False
+        self.accept(record)
+        return True
--- /dev/null
+++ b/src/heathermount/node/calls.py
@@ -0,0 +1,173 @@
+"""Calls in progress and the contexts that tie deeper calls to their root."""
+
+import secrets
+from collections.abc import Callable
+from typing import Final
+
+from heathermount.admission import Permit
+from heathermount.clocks import Clock
+from heathermount.routing import AttemptLedger
+from heathermount.values import ServiceThreshold
+from heathermount.wire.messages import Execute
+
+__all__ = ["Call", "CallContext", "ContextTable"]
+
+# A finished request's context stays valid this long for calls that it started
+# before it answered, in seconds.
+LINGER_S: Final = 1.0
+
+
+class Call:
+    """One call on its way from the node it entered to a backend server."""
+
+    __slots__ = (
+        "body",
+        "cohort",
+        "deadline",
+        "depth",
+        "fingerprint",
+        "headers",
+        "idempotency_key",
+        "importance",
+        "key_id",
+        "ledger",
+        "method",
+        "note",
+        "organisation",
+        "repeatable",
+        "resend",
+        "root",
+        "route",
+        "service",
+        "target",
+        "weight",
+    )
+
+    def __init__(
+        self,
+        *,
+        root: str,
+        service: str,
+        route: str,
+        method: str,
+        target: str,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        organisation: str,
+        key_id: str,
+        importance: int,
+        cohort: int,
+        weight: int,
+        deadline: float,
+        ledger: AttemptLedger,
+        depth: int,
+        fingerprint: bytes,
+        repeatable: bool,
+        idempotency_key: str,
+        note: Callable[[list[ServiceThreshold]], None],
+        resend: bool = False,
+    ) -> None:
+        self.root = root
+        self.service = service
+        self.route = route
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.organisation = organisation
+        self.key_id = key_id
+        self.importance = importance
+        self.cohort = cohort
+        self.weight = weight
+        # Monotonic time after which nobody waits for the answer.
+        self.deadline = deadline
+        self.ledger = ledger
+        self.depth = depth
+        self.fingerprint = fingerprint
+        self.repeatable = repeatable
+        self.idempotency_key = idempotency_key
+        # Takes the thresholds of each answer, also of refusals.
+        self.note = note
+        self.resend = resend
+
+    def to_message(self, now: float, allowance: int, revision: int) -> Execute:
+        """Return the message for one attempt."""
+        return Execute(
+            call_id=secrets.token_bytes(16),
+            root=self.root,
+            service=self.service,
+            route=self.route,
+            method=self.method,
+            target=self.target,
+            headers=self.headers,
+            body=self.body,
+            organisation=self.organisation,
+            key_id=self.key_id,
+            importance=self.importance,
+            cohort=self.cohort,
+            weight=self.weight,
+            deadline_s=self.deadline - now,
+            allowance=allowance,
+            depth=self.depth,
+            fingerprint=self.fingerprint,
+            repeatable=self.repeatable,
+            resend=self.resend,
+            revision=revision,
+        )
+
+
+class CallContext:
+    """A request that runs at this node's backend server."""
+
+    __slots__ = ("deadline", "ledger", "message", "permit", "retried", "thresholds")
+
+    def __init__(self, message: Execute, deadline: float) -> None:
+        self.message = message
+        self.deadline = deadline
+        self.ledger = AttemptLedger(message.allowance)
+        self.thresholds: dict[str, ServiceThreshold] = {}
+        # Set while the request runs at the backend server.
+        self.permit: Permit | None = None
+        self.retried = False
+
+    def note(self, thresholds: list[ServiceThreshold]) -> None:
+        """Remember thresholds of services below, the strictest of each."""
+        for reported in thresholds:
+            known = self.thresholds.get(reported.service)
+            if known is None or rank(reported) < rank(known):
+                self.thresholds[reported.service] = reported
+
+
+def rank(reported: ServiceThreshold) -> tuple[int, int]:
+    return reported.threshold.importance, reported.threshold.cohort
+
+
+class ContextTable:
+    """Contexts by the opaque token that the backend server was handed."""
+
+    __slots__ = ("_clock", "_contexts", "_finished")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._contexts: dict[str, CallContext] = {}
+        self._finished: list[tuple[float, str]] = []
+
+    def add(self, context: CallContext) -> str:
+        token = secrets.token_urlsafe(16)
+        self._contexts[token] = context
+        return token
+
+    def find(self, token: str) -> CallContext | None:
+        return self._contexts.get(token)
+
+    def finish(self, token: str) -> None:
+        """Drop the context a little later."""
+        now = self._clock.monotonic()
+        self._finished.append((now + LINGER_S, token))
+        due = 0
+        for expires_at, finished in self._finished:
+            if expires_at > now:
+                break
+            self._contexts.pop(finished, None)
+            due += 1
+        del self._finished[:due]
--- /dev/null
+++ b/src/heathermount/node/claiming.py
@@ -0,0 +1,91 @@
+"""Calls that may run at most once: claimed first, then dispatched and settled."""
+
+import hashlib
+import secrets
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from heathermount.claims import ClaimClient
+from heathermount.errors import Refusal
+from heathermount.node.calls import Call
+from heathermount.node.refusals import make_refusal
+from heathermount.values import Outcome, Reason
+from heathermount.wire.messages import Answer
+
+__all__ = ["ClaimedCalls"]
+
+
+class Execution:
+    """A claimed call that runs on even if its caller leaves."""
+
+    __slots__ = ("answer", "done", "refusal")
+
+    def __init__(self) -> None:
+        self.done = anyio.Event()
+        self.answer: Answer | None = None
+        self.refusal: Refusal | None = None
+
+
+class ClaimedCalls:
+    """Runs calls that may not be repeated."""
+
+    __slots__ = ("_claims", "_dispatch", "_tasks")
+
+    def __init__(
+        self,
+        claims: ClaimClient,
+        dispatch: Callable[[Call], Awaitable[Answer]],
+        tasks: TaskGroup,
+    ) -> None:
+        self._claims = claims
+        self._dispatch = dispatch
+        self._tasks = tasks
+
+    async def run(self, call: Call) -> Answer:
+        """Return the answer of the one execution; raise Refusal without one."""
+        call_id = secrets.token_bytes(16)
+        digest = hashlib.sha256(
+            f"{call.method} {call.target}\n".encode() + call.body
+        ).digest()[:16]
+        reply = await self._claims.claim(
+            call.service,
+            call.organisation,
+            call.idempotency_key,
+            call_id,
+            digest,
+            call.deadline,
+        )
+        if reply.state != "granted":
+            return Answer(reply.status, reply.headers, reply.body, Outcome.RAN)
+        # The execution is not cancelled with its caller: the claim then keeps
+        # the answer for the caller's next try.
+        execution = Execution()
+        self._tasks.start_soon(self._execute, call, call_id, execution)
+        await execution.done.wait()
+        if execution.refusal is not None:
+            raise execution.refusal
+        if execution.answer is None:
+            raise make_refusal(Reason.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+        return execution.answer
+
+    async def _execute(self, call: Call, call_id: bytes, execution: Execution) -> None:
+        outcome = Outcome.UNKNOWN
+        try:
+            execution.answer = await self._dispatch(call)
+            outcome = Outcome.RAN
+        except Refusal as refusal:
+            execution.refusal = refusal
+            outcome = refusal.outcome
+        finally:
+            execution.done.set()
+        answer = execution.answer
+        if outcome is Outcome.NOT_RUN:
+            await self._claims.release(call_id)
+        elif answer is None:
+            await self._claims.settle(call_id, outcome)
+        else:
+            await self._claims.settle(
+                call_id, outcome, answer.status, answer.headers, answer.body
+            )
--- /dev/null
+++ b/src/heathermount/node/control.py
@@ -0,0 +1,133 @@
+"""Answers bulk requests of peers and requests of operators."""
+
+from collections.abc import Awaitable, Callable
+
+from heathermount.config.documents import decode_change
+from heathermount.config.settings import Settings
+from heathermount.config.tracker import ConfigTracker
+from heathermount.events import EventLog
+from heathermount.invariants import Invariants
+from heathermount.membership import Directory, Group
+from heathermount.node.executor import Executor
+from heathermount.ownership import OwnershipManager, encode_record
+from heathermount.wire.control import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    DrainReply,
+    DrainRequest,
+    HandOverReply,
+    HandOverRequest,
+    OwnerReply,
+    OwnerRequest,
+    PushReply,
+    PushRequest,
+    RosterReply,
+    RosterRequest,
+    StatusReply,
+    StatusRequest,
+    TimelineReply,
+    TimelineRequest,
+)
+from heathermount.wire.link import Identity
+
+__all__ = ["NodeControl"]
+
+
+class NodeControl:
+    """The node's side of the control service; see ControlService."""
+
+    __slots__ = (
+        "_directory",
+        "_events",
+        "_executor",
+        "_group",
+        "_identity",
+        "_invariants",
+        "_ownership",
+        "_set_draining",
+        "_settings",
+        "_tracker",
+        "_update",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        identity: Identity,
+        tracker: ConfigTracker,
+        executor: Executor,
+        ownership: OwnershipManager,
+        group: Group,
+        directory: Directory,
+        events: EventLog,
+        invariants: Invariants,
+        update: Callable[[], Awaitable[None]],
+        set_draining: Callable[[bool], None],
+    ) -> None:
+        self._settings = settings
+        self._identity = identity
+        self._tracker = tracker
+        self._executor = executor
+        self._ownership = ownership
+        self._group = group
+        self._directory = directory
+        self._events = events
+        self._invariants = invariants
+        # Reads the store when a pushed change does not follow the own revision.
+        self._update = update
+        self._set_draining = set_draining
+
+    async def status(self, request: StatusRequest) -> StatusReply:
+        return StatusReply(
+            node=self._identity.node,
+            incarnation=self._identity.incarnation,
+            service=self._settings.node.service,
+            failure_domain=self._settings.node.failure_domain,
+            revision=self._tracker.revision,
+            change_id=self._tracker.document.change_id,
+            revision_age_s=self._tracker.revision_age_s(),
+            fresh=self._tracker.fresh(),
+            draining=self._executor.draining,
+            members=self._group.live_members(),
+            owned=[partition.name for partition in self._ownership.owned()],
+            violations=self._invariants.violations,
+        )
+
+    async def timeline(self, request: TimelineRequest) -> TimelineReply:
+        return TimelineReply(self._events.recent(request.since_us))
+
+    async def fetch_configuration(
+        self, request: ConfigurationRequest
+    ) -> ConfigurationReply:
+        return self._tracker.changes_since(request.since_revision)
+
+    async def push(self, request: PushRequest) -> PushReply:
+        change = decode_change(request.change)
+        if change.revision > self._tracker.revision and not self._tracker.offer_change(
+            change
+        ):
+            await self._update()
+        return PushReply(self._tracker.revision)
+
+    async def fetch_roster(self, request: RosterRequest) -> RosterReply:
+        if request.service == self._settings.node.service:
+            return RosterReply(self._group.roster.record.encode())
+        record = self._directory.get(request.service)
+        return RosterReply(record.encode() if record is not None else b"")
+
+    async def find_owner(self, request: OwnerRequest) -> OwnerReply:
+        record = self._ownership.find_owner(request.partition)
+        if record is None:
+            record = await self._ownership.refresh(request.partition)
+        return OwnerReply(encode_record(record) if record is not None else b"")
+
+    async def drain(self, request: DrainRequest) -> DrainReply:
+        self._set_draining(request.draining)
+        admission = self._executor.admission
+        return DrainReply(admission.load().running if admission is not None else 0)
+
+    async def hand_over(self, request: HandOverRequest) -> HandOverReply:
+        accepted = self._ownership.accept_handover(
+            request.partition, request.epoch, request.state
+        )
+        return HandOverReply(accepted)
--- /dev/null
+++ b/src/heathermount/node/executor.py
@@ -0,0 +1,309 @@
+"""Runs requests against the backend server beside this node."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from heathermount.admission import AdmissionController, Permit, RunResult, Ticket
+from heathermount.clocks import Clock
+from heathermount.config.settings import Settings
+from heathermount.config.tracker import ConfigTracker
+from heathermount.errors import Refusal
+from heathermount.events import EventLog
+from heathermount.invariants import Invariants
+from heathermount.node.calls import CallContext, ContextTable
+from heathermount.node.refusals import answer_of, make_refusal
+from heathermount.node.server import (
+    AnswerTooLarge,
+    ServerAnswer,
+    ServerBroke,
+    ServerClient,
+    ServerUnreachable,
+)
+from heathermount.routing import Quarantine
+from heathermount.values import Outcome, Reason, ServiceThreshold
+from heathermount.wire.messages import Answer, Execute, Suspicion
+
+__all__ = ["Announcement", "Executor"]
+
+# A backend server marks its own refusals with this header; with status 503
+# they prove that the request did not run.
+NOT_RUN_HEADER = b"heathermount-not-run"
+
+
+class Announcement:
+    """What a backend server says about itself."""
+
+    __slots__ = (
+        "address",
+        "cold_start_s",
+        "connections",
+        "health_path",
+        "load_path",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        slots: int,
+        connections: int,
+        cold_start_s: float = 0.0,
+        health_path: str = "",
+        load_path: str = "",
+    ) -> None:
+        self.address = address
+        self.slots = slots
+        self.connections = connections
+        self.cold_start_s = cold_start_s
+        self.health_path = health_path
+        self.load_path = load_path
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Announcement):
+            return NotImplemented
+        return all(getattr(self, n) == getattr(other, n) for n in self.__slots__)
+
+
+class Executor:
+    """Admits requests to the backend server and runs them."""
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_invariants",
+        "_random",
+        "_roster_revision",
+        "_server",
+        "_settings",
+        "_share_suspicion",
+        "_tracker",
+        "admission",
+        "announcement",
+        "contexts",
+        "draining",
+        "quarantine",
+        "reachable",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        tracker: ConfigTracker,
+        quarantine: Quarantine,
+        contexts: ContextTable,
+        clock: Clock,
+        rng: random.Random,
+        events: EventLog,
+        invariants: Invariants,
+        share_suspicion: Callable[[Suspicion], Awaitable[None]],
+        roster_revision: Callable[[], int],
+    ) -> None:
+        self._settings = settings
+        self._tracker = tracker
+        self._clock = clock
+        self._random = rng
+        self._events = events
+        self._invariants = invariants
+        self._share_suspicion = share_suspicion
+        self._roster_revision = roster_revision
+        self._server: ServerClient | None = None
+        self.admission: AdmissionController | None = None
+        self.announcement: Announcement | None = None
+        self.contexts = contexts
+        self.draining = False
+        self.quarantine = quarantine
+        # False after a refused connection until the server is reached again.
+        self.reachable = True
+
+    def announce(self, announcement: Announcement) -> bool:
+        """Take the backend server into service; tell whether it was new."""
+        if announcement == self.announcement:
+            return False
+        self.announcement = announcement
+        self._server = ServerClient(
+            announcement.address,
+            announcement.connections,
+            self._settings.limits.max_body_bytes,
+            self._clock,
+        )
+        self.admission = AdmissionController.from_config(
+            self._settings.policy,
+            self._clock,
+            self._random,
+            announcement.slots,
+            self._events,
+            self._invariants,
+        )
+        self.reachable = True
+        self._events.record(
+            "server-announced",
+            address=announcement.address,
+            slots=announcement.slots,
+            connections=announcement.connections,
+        )
+        return True
+
+    def withdraw(self) -> None:
+        """Take the backend server out of service."""
+        if self.announcement is not None:
+            self._events.record("server-withdrawn", address=self.announcement.address)
+        self.announcement = None
+
+    @property
+    def serving(self) -> bool:
+        return self.announcement is not None and self.reachable and not self.draining
+
+    async def check_server(self) -> None:
+        """Find out whether a backend server that refused connections is back."""
+        if self._server is None or self.announcement is None:
+            return
+        reachable = await self._server.probe()
+        if reachable != self.reachable:
+            self.reachable = reachable
+            self._events.record("server-reachable", reachable=reachable)
+
+    async def execute(self, message: Execute) -> Answer:
+        """Run a request or refuse it; the answer carries load and thresholds."""
+        deadline = self._clock.monotonic() + message.deadline_s
+        context = CallContext(message, deadline)
+        try:
+            answer = await self._admit_and_run(message, context)
+        except Refusal as refusal:
+            answer = answer_of(refusal)
+        self._describe(answer, message, context)
+        return answer
+
+    def _describe(self, answer: Answer, message: Execute, context: CallContext) -> None:
+        answer.spent = message.allowance - context.ledger.remaining
+        answer.retried = context.retried
+        answer.revision = self._tracker.revision
+        answer.roster_revision = self._roster_revision()
+        answer.thresholds = list(context.thresholds.values())
+        if self.admission is not None:
+            answer.load = self.admission.load()
+            answer.thresholds.append(
+                ServiceThreshold(message.service, self.admission.threshold())
+            )
+
+    async def _admit_and_run(self, message: Execute, context: CallContext) -> Answer:
+        self._check_key(message)
+        if self.draining:
+            raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
+        if self._server is None or self.admission is None or not self.serving:
+            raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
+        if self.quarantine.blocked(message.fingerprint):
+            raise make_refusal(Reason.QUARANTINED, Outcome.NOT_RUN)
+        ticket = Ticket(
+            root=message.root,
+            organisation=message.organisation,
+            weight=message.weight,
+            importance=message.importance,
+            cohort=message.cohort,
+            deadline=context.deadline,
+            resend=message.resend,
+        )
+        admission = self.admission
+        permit = await admission.admit(ticket)
+        if self.quarantine.blocked(message.fingerprint):
+            # The suspicion arrived while the request was queued.
+            admission.release(permit, RunResult.CANCELLED)
+            raise make_refusal(Reason.QUARANTINED, Outcome.NOT_RUN)
+        return await self._run(message, context, admission, permit)
+
+    def _check_key(self, message: Execute) -> None:
+        """Recheck the key: this node's configuration may be newer than the entry's."""
+        policy = self._tracker.policy
+        if not message.key_id or policy is None or policy.revision < message.revision:
+            return
+        if policy.key_organisation(message.key_id) == message.organisation:
+            return
+        raise make_refusal(Reason.KEY_WITHDRAWN, Outcome.NOT_RUN)
+
+    async def _run(
+        self,
+        message: Execute,
+        context: CallContext,
+        admission: AdmissionController,
+        permit: Permit,
+    ) -> Answer:
+        if self._server is None:
+            raise RuntimeError("a permit was given without a backend server")
+        context.permit = permit
+        token = self.contexts.add(context)
+        result = RunResult.CANCELLED
+        answer: ServerAnswer | None = None
+        try:
+            with anyio.move_on_after(context.deadline - self._clock.monotonic()):
+                answer = await self._server.call(
+                    message.method,
+                    message.target,
+                    self._request_headers(message, token, context),
+                    message.body,
+                    message.repeatable,
+                )
+            if answer is None:
+                raise make_refusal(Reason.DEADLINE, Outcome.UNKNOWN)
+            result = judge(answer)
+            if result is RunResult.SHED_BY_SERVER:
+                raise make_refusal(Reason.SHED, Outcome.NOT_RUN, retry_after_s=1.0)
+            return Answer(answer.status, answer.headers, answer.body, Outcome.RAN)
+        except ServerUnreachable:
+            result = RunResult.FAILED
+            self.reachable = False
+            raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN) from None
+        except ServerBroke:
+            result = RunResult.CRASHED
+            return await self._suspect(message)
+        except AnswerTooLarge:
+            result = RunResult.OK
+            raise make_refusal(Reason.ANSWER_TOO_LARGE, Outcome.RAN) from None
+        finally:
+            self.contexts.finish(token)
+            context.permit = None
+            admission.release(permit, result)
+
+    async def _suspect(self, message: Execute) -> Answer:
+        """Share the suspicion before anyone can send the request again."""
+        suspicions = self.quarantine.suspect(
+            message.fingerprint, self._settings.node.name
+        )
+        self._events.record(
+            "crash-suspected",
+            root=message.root,
+            organisation=message.organisation,
+            route=message.route,
+            suspicions=suspicions,
+        )
+        suspicion = Suspicion(message.fingerprint, self._settings.node.name, 0.0)
+        await self._share_suspicion(suspicion)
+        answer = answer_of(make_refusal(Reason.SERVER_FAILED, Outcome.UNKNOWN))
+        answer.crashed = True
+        return answer
+
+    def _request_headers(
+        self, message: Execute, token: str, context: CallContext
+    ) -> list[tuple[bytes, bytes]]:
+        remaining_s = max(0.0, context.deadline - self._clock.monotonic())
+        return [
+            *message.headers,
+            (b"host", self.announcement_address()),
+            (b"content-length", str(len(message.body)).encode()),
+            (b"heathermount-context", token.encode()),
+            (b"heathermount-deadline-ms", str(int(remaining_s * 1000)).encode()),
+            (b"heathermount-organisation", message.organisation.encode()),
+            (b"heathermount-request", message.root.encode()),
+        ]
+
+    def announcement_address(self) -> bytes:
+        return self._server.address.encode() if self._server is not None else b""
+
+
+def judge(answer: ServerAnswer) -> RunResult:
+    """Classify a whole answer of the backend server."""
+    if answer.status == 503 and any(
+        name.lower() == NOT_RUN_HEADER for name, _ in answer.headers
+    ):
+        return RunResult.SHED_BY_SERVER
+    return RunResult.FAILED if answer.status >= 500 else RunResult.OK
--- /dev/null
+++ b/src/heathermount/node/hosting.py
@@ -0,0 +1,174 @@
+"""What the ownership manager needs of this node: candidates, proofs and state."""
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from heathermount.claims import ClaimTable
+from heathermount.clocks import Clock
+from heathermount.config.settings import Settings
+from heathermount.config.tracker import ConfigTracker
+from heathermount.errors import InvalidMessage, PeerError, PeerRefused
+from heathermount.invariants import Invariants
+from heathermount.membership import Directory, Group, MemberRecord
+from heathermount.node.clients import ControlClients
+from heathermount.node.partitions import (
+    OwnedPartitions,
+    home_services,
+    wanted_partitions,
+)
+from heathermount.ownership import NodeIdentity, OwnerRecord, Partition, decode_record
+from heathermount.quota import Allocator
+from heathermount.wire.control import OwnerReply, OwnerRequest
+from heathermount.wire.link import Identity, open_link
+
+__all__ = ["NodeHost"]
+
+# At a fleet's start the nodes of a failure domain may come up later than others.
+OTHER_DOMAINS_AFTER_S: Final = 10.0
+
+
+class NodeHost:
+    """The node's side of the ownership manager; see PartitionHost."""
+
+    __slots__ = (
+        "_clients",
+        "_clock",
+        "_directory",
+        "_group",
+        "_identity",
+        "_invariants",
+        "_owned",
+        "_settings",
+        "_tracker",
+        "_without_local",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        identity: Identity,
+        tracker: ConfigTracker,
+        owned: OwnedPartitions,
+        group: Group,
+        directory: Directory,
+        clients: ControlClients,
+        clock: Clock,
+        invariants: Invariants,
+    ) -> None:
+        self._settings = settings
+        self._identity = identity
+        self._tracker = tracker
+        self._owned = owned
+        self._group = group
+        self._directory = directory
+        self._clients = clients
+        self._clock = clock
+        self._invariants = invariants
+        # Monotonic time since which a partition has no candidate in its domain.
+        self._without_local: dict[str, float] = {}
+
+    def wanted(self) -> Iterable[str]:
+        return wanted_partitions(self._settings.node.service, self._tracker)
+
+    def candidates(self, partition: str) -> Sequence[str]:
+        """Return live candidates; other groups' members as their roster says."""
+        kind, _, name = partition.partition("/")
+        if kind == "claims":
+            return self._group.live_members()
+        domain = name.partition("/")[0]
+        members = [
+            member
+            for service in self._home_services(partition)
+            for member in self._members(service)
+        ]
+        local = [m.node for m in members if m.failure_domain == domain]
+        now = self._clock.monotonic()
+        if local:
+            self._without_local.pop(partition, None)
+            return local
+        since = self._without_local.setdefault(partition, now)
+        if now - since < OTHER_DOMAINS_AFTER_S:
+            return []
+        # A failure domain without candidates is served from the others, so that
+        # its share of the limits is not lost.
+        return [m.node for m in members]
+
+    def _home_services(self, partition: str) -> list[str]:
+        policy = self._tracker.policy
+        return home_services(partition, policy.services) if policy is not None else []
+
+    def _members(self, service: str) -> list[MemberRecord]:
+        if service != self._settings.node.service:
+            record = self._directory.get(service)
+            return list(record.members) if record is not None else []
+        live = set(self._group.live_members())
+        return [m for m in self._group.roster.record.members if m.node in live]
+
+    def locate(self, node: str) -> NodeIdentity | None:
+        services = [self._settings.node.service, *self._directory.services()]
+        for service in services:
+            for member in self._members(service):
+                if member.node == node:
+                    return NodeIdentity(
+                        member.node, member.incarnation, member.peers, member.control
+                    )
+        return None
+
+    async def probe(self, address: str, incarnation: str) -> bool:
+        """Return True only on proof that the process has ended."""
+        try:
+            link = await open_link(address, self._identity)
+        except PeerRefused:
+            return True
+        except PeerError:
+            return False
+        link.retire()
+        await link.run()
+        return link.peer.incarnation != incarnation
+
+    async def fetch(self, partition: str) -> OwnerRecord | None:
+        """Ask the reader of the group; None when this node is the reader."""
+        member = self._group.roster.record.find(self._group.reader())
+        if member is None or member.node == self._settings.node.name:
+            return None
+        try:
+            reply = await self._clients.call(
+                member.control, OwnerRequest(partition), OwnerReply
+            )
+            return decode_record(reply.record) if reply.record else None
+        except (PeerError, InvalidMessage):
+            return None
+
+    def started(self, partition: Partition, state: bytes | None) -> None:
+        """Create the state of a partition that this node now owns."""
+        if partition.name.startswith("quota/"):
+            allocator = Allocator(partition, self._clock, self._invariants)
+            if state is not None:
+                allocator.load(state)
+            self._owned.allocators[partition.name] = allocator
+            return
+        self._owned.tables[partition.name] = self._make_table(partition, state)
+
+    def _make_table(self, partition: Partition, state: bytes | None) -> ClaimTable:
+        table = ClaimTable(
+            partition,
+            self._clock,
+            self._invariants,
+            self._owned.bodies,
+            self._group.is_dead,
+            self._owned.retention_s,
+        )
+        if state is not None:
+            table.load(state)
+        return table
+
+    def stopped(self, name: str) -> None:
+        self._owned.allocators.pop(name, None)
+        table = self._owned.tables.pop(name, None)
+        if table is not None:
+            table.close()
+
+    def dump(self, name: str) -> bytes:
+        if name in self._owned.allocators:
+            return self._owned.allocators[name].dump()
+        return self._owned.tables[name].dump()
--- /dev/null
+++ b/src/heathermount/node/http.py
@@ -0,0 +1,169 @@
+"""Reading requests and sending answers over ASGI."""
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+import anyio
+
+from heathermount.config.settings import LimitSettings
+from heathermount.errors import Refusal
+from heathermount.node.refusals import headers_of, make_refusal, refusal_body
+from heathermount.values import Outcome, Reason
+from heathermount.wire.messages import Answer, Headers
+
+__all__ = [
+    "ASGIApp",
+    "CallerLeft",
+    "Receive",
+    "Scope",
+    "Send",
+    "answer_unless_left",
+    "find_header",
+    "passed_headers",
+    "read_body",
+    "send_answer",
+    "send_json",
+    "send_ran",
+    "send_refusal",
+    "target_of",
+]
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+ASGIApp = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+# Headers about one connection, and headers that nodes set themselves.
+DROPPED_HEADERS = frozenset(
+    {
+        b"authorization",
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"x-api-key",
+    }
+)
+OWN_PREFIX = b"heathermount-"
+
+
+class CallerLeft(Exception):
+    """The caller closed its connection."""
+
+
+def find_header(headers: Headers, name: bytes) -> str:
+    """Return the value of a header, or an empty string."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return ""
+
+
+def passed_headers(headers: Headers) -> Headers:
+    """Return the headers that a backend server may see."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in DROPPED_HEADERS and not name.startswith(OWN_PREFIX)
+    ]
+
+
+def target_of(scope: Scope) -> str:
+    """Return the path and query as they were sent."""
+    path: bytes = scope["raw_path"]
+    query: bytes = scope["query_string"]
+    return (path + b"?" + query if query else path).decode("latin-1")
+
+
+async def read_body(scope: Scope, receive: Receive, limits: LimitSettings) -> bytes:
+    """Read a whole body.
+
+    Raises Refusal 413 or 431 over the limits (bytes) and CallerLeft when the
+    caller does not finish it.
+    """
+    size = sum(len(name) + len(value) for name, value in scope["headers"])
+    if size + len(scope["raw_path"]) > limits.max_header_bytes:
+        raise make_refusal(Reason.HEADER_TOO_LARGE, Outcome.NOT_RUN)
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            raise CallerLeft
+        chunk = event.get("body", b"")
+        size += len(chunk)
+        if size > limits.max_body_bytes:
+            raise make_refusal(Reason.BODY_TOO_LARGE, Outcome.NOT_RUN)
+        chunks.append(chunk)
+        if not event.get("more_body", False):
+            return b"".join(chunks)
+
+
+async def answer_unless_left(
+    call: Callable[[], Awaitable[Answer]], receive: Receive
+) -> Answer:
+    """Return the answer of `call`; cancel it when the caller leaves first.
+
+    Raises the Refusal of the call, or CallerLeft.
+    """
+    answer: Answer | None = None
+    refused: Refusal | None = None
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cancel_after_disconnect, receive, tasks.cancel_scope)
+        try:
+            answer = await call()
+        except Refusal as refusal:
+            # Raised after the task group, which would wrap it in a group.
+            refused = refusal
+        tasks.cancel_scope.cancel()
+    if refused is not None:
+        raise refused
+    if answer is None:
+        raise CallerLeft
+    return answer
+
+
+async def cancel_after_disconnect(receive: Receive, scope: anyio.CancelScope) -> None:
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+async def send_answer(send: Send, status: int, headers: Headers, body: bytes) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [*headers, length],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_ran(send: Send, answer: Answer, closing: bool) -> None:
+    """Send the backend server's own answer."""
+    headers = [*answer.headers, (b"heathermount-outcome", answer.outcome.encode())]
+    if closing:
+        headers.append((b"connection", b"close"))
+    await send_answer(send, answer.status, headers, answer.body)
+
+
+async def send_refusal(send: Send, refusal: Refusal, closing: bool = False) -> None:
+    body = refusal_body(refusal.status, refusal.reason, refusal.outcome, refusal.remedy)
+    headers = headers_of(refusal)
+    if closing:
+        headers.append((b"connection", b"close"))
+    await send_answer(send, refusal.status, headers, body)
+
+
+async def send_json(send: Send, status: int, body: bytes = b"") -> None:
+    await send_answer(send, status, [(b"content-type", b"application/json")], body)
--- /dev/null
+++ b/src/heathermount/node/partitions.py
@@ -0,0 +1,115 @@
+"""Quota allocators and claim tables of the partitions that this node owns."""
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from heathermount.claims import BodyBudget, ClaimTable
+from heathermount.clocks import Clock
+from heathermount.config.tracker import ConfigTracker
+from heathermount.invariants import Invariants
+from heathermount.ownership import NotOwner, rank_candidates
+from heathermount.quota import Allocator, Allotment
+from heathermount.wire.messages import (
+    Claim,
+    ClaimReply,
+    ClaimUpdated,
+    Settle,
+    TokenReply,
+    TokenRequest,
+    UnclaimKey,
+)
+
+__all__ = [
+    "CLAIM_SLOTS",
+    "QUOTA_PARTITIONS",
+    "OwnedPartitions",
+    "home_services",
+    "wanted_partitions",
+]
+
+# A fixed number for each failure domain, so that renewals do not grow with the
+# fleet: 8 partitions renewed every 40 s in 4 domains are 0.8 writes a second.
+QUOTA_PARTITIONS: Final = 8
+CLAIM_SLOTS: Final = 2
+# Services whose nodes may own a quota partition.
+HOME_SERVICES: Final = 3
+DEFAULT_RETENTION_S: Final = 600.0
+
+
+def home_services(partition: str, services: Iterable[str]) -> list[str]:
+    """Return the services whose nodes may own a quota partition, in order."""
+    return rank_candidates(partition, services)[:HOME_SERVICES]
+
+
+def wanted_partitions(service: str, tracker: ConfigTracker) -> list[str]:
+    """Return the partitions that a node of `service` may own."""
+    policy = tracker.policy
+    if policy is None:
+        return []
+    partitions = [
+        name
+        for domain in policy.failure_domains
+        for name in (f"quota/{domain}/{n}" for n in range(QUOTA_PARTITIONS))
+        if service in home_services(name, policy.services)
+    ]
+    if service in policy.services_with_claims:
+        partitions += [f"claims/{service}/{slot}" for slot in range(CLAIM_SLOTS)]
+    return partitions
+
+
+class OwnedPartitions:
+    """Creates and drops the state of partitions as they are gained and lost."""
+
+    __slots__ = ("_clock", "_invariants", "_tracker", "allocators", "bodies", "tables")
+
+    def __init__(
+        self, tracker: ConfigTracker, clock: Clock, invariants: Invariants
+    ) -> None:
+        self._tracker = tracker
+        self._clock = clock
+        self._invariants = invariants
+        self.allocators: dict[str, Allocator] = {}
+        self.tables: dict[str, ClaimTable] = {}
+        # Bounds the memory of held responses over all tables of this node.
+        self.bodies = BodyBudget()
+
+    def grant(self, request: TokenRequest) -> TokenReply:
+        """Grant tokens, or say that this node does not own the partition."""
+        allocator = self.allocators.get(request.partition)
+        policy = self._tracker.policy
+        if allocator is None or policy is None:
+            return TokenReply(False, [])
+        return allocator.answer(request, self.find_allotment, policy.failure_domains)
+
+    def find_allotment(self, organisation: str) -> Allotment | None:
+        """Return the organisation's rate and burst in the current configuration."""
+        policy = self._tracker.policy
+        if policy is None:
+            return None
+        allotment = policy.allotment(organisation)
+        return Allotment(allotment.rate, allotment.burst)
+
+    def retention_s(self) -> float:
+        """Return how long idempotency keys are remembered, in seconds."""
+        policy = self._tracker.policy
+        return policy.retention_s if policy is not None else DEFAULT_RETENTION_S
+
+    def find_domains(self) -> Sequence[str]:
+        policy = self._tracker.policy
+        return policy.failure_domains if policy is not None else ()
+
+    def decide(self, message: Claim) -> ClaimReply:
+        """Decide a claim; the reply is `moved` if this node is not the owner."""
+        table = self.tables.get(message.partition)
+        if table is None:
+            return ClaimReply("moved")
+        reply: ClaimReply = table.handle(message)
+        return reply
+
+    def update(self, message: Settle | UnclaimKey) -> ClaimUpdated:
+        """Record how a claimed call ended; raise NotOwner to ask the owner."""
+        table = self.tables.get(message.partition)
+        if table is None:
+            raise NotOwner(f"{message.partition}: look up its owner again")
+        updated: ClaimUpdated = table.handle(message)
+        return updated
--- /dev/null
+++ b/src/heathermount/node/parts.py
@@ -0,0 +1,80 @@
+"""The parts of a node that exist before it has tasks."""
+
+import random
+import secrets
+from typing import Self
+
+from heathermount.clocks import Clock
+from heathermount.config.settings import Settings
+from heathermount.config.tracker import ConfigTracker
+from heathermount.events import EventLog
+from heathermount.invariants import Invariants
+from heathermount.node.calls import ContextTable
+from heathermount.node.clients import ControlClients
+from heathermount.node.metrics import Metrics
+from heathermount.node.partitions import OwnedPartitions
+from heathermount.routing import Balancer, Quarantine
+from heathermount.store import Store
+from heathermount.wire.link import Identity
+from heathermount.wire.tls import TlsContexts
+
+__all__ = ["Parts"]
+
+
+class Parts:
+    """State of one node, shared by its tasks."""
+
+    __slots__ = (
+        "balancer",
+        "clients",
+        "clock",
+        "contexts",
+        "events",
+        "identity",
+        "invariants",
+        "metrics",
+        "owned",
+        "quarantine",
+        "rng",
+        "settings",
+        "store",
+        "tls",
+        "tracker",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        tls: TlsContexts | None,
+    ) -> None:
+        name = settings.node.name
+        self.settings = settings
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.tls = tls
+        self.identity = Identity(name, secrets.token_hex(8), settings.secret)
+        if tls is not None:
+            tls.attach(self.identity)
+        self.events = EventLog(name, clock)
+        self.invariants = Invariants(self.events)
+        self.metrics = Metrics(clock, self.invariants)
+        self.tracker = ConfigTracker.from_config(
+            settings, store, clock, self.events, self.invariants
+        )
+        self.balancer = Balancer(clock, rng, settings.node.failure_domain)
+        self.quarantine = Quarantine(clock)
+        self.contexts = ContextTable(clock)
+        self.owned = OwnedPartitions(self.tracker, clock, self.invariants)
+        self.clients = ControlClients(settings.secret, clock, tls)
+
+    @classmethod
+    def from_config(
+        cls, settings: Settings, source: str, store: Store, clock: Clock
+    ) -> Self:
+        """Build the parts; raise ConfigurationProblem for unusable TLS files."""
+        tls = TlsContexts.from_config(settings.security, source)
+        return cls(settings, store, clock, random.Random(secrets.randbits(64)), tls)
--- /dev/null
+++ b/src/heathermount/node/updates.py
@@ -0,0 +1,191 @@
+"""Keeps the configuration and rosters of this node up to date."""
+
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from heathermount.clocks import Clock
+from heathermount.config.settings import Settings
+from heathermount.config.tracker import ConfigTracker
+from heathermount.errors import (
+    InvalidMessage,
+    PeerError,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from heathermount.events import EventLog
+from heathermount.membership import Directory, Group, MemberRecord, RosterRecord
+from heathermount.node.clients import ControlClients
+from heathermount.node.routes import RouteTable
+from heathermount.routing import Member
+from heathermount.wire.control import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    RosterReply,
+    RosterRequest,
+)
+from heathermount.wire.messages import Answer, Heartbeat, HeartbeatReply
+
+__all__ = ["Updates"]
+
+# A member that is not the reader reads the store itself when nothing confirmed
+# its revision for this many polling periods.
+UNCONFIRMED_POLLS: Final = 2.0
+
+
+class Updates:
+    """Reads revisions from the store, from heartbeats and from answers."""
+
+    __slots__ = (
+        "_clients",
+        "_clock",
+        "_directory",
+        "_events",
+        "_fetching",
+        "_group",
+        "_routes",
+        "_settings",
+        "_store_down",
+        "_tasks",
+        "_tracker",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        tracker: ConfigTracker,
+        group: Group,
+        directory: Directory,
+        routes: RouteTable,
+        clients: ControlClients,
+        clock: Clock,
+        events: EventLog,
+        tasks: TaskGroup,
+    ) -> None:
+        self._settings = settings
+        self._tracker = tracker
+        self._group = group
+        self._directory = directory
+        self._routes = routes
+        self._clients = clients
+        self._clock = clock
+        self._events = events
+        self._tasks = tasks
+        # Addresses that a configuration is being fetched from.
+        self._fetching: set[str] = set()
+        self._store_down = False
+
+    async def run(self) -> None:
+        """Poll the configuration's head, as the group's reader or if in doubt."""
+        period_s = self._settings.timings.config_poll_s
+        while True:
+            age_s = self._tracker.confirmed_age_s()
+            if self._group.is_reader() or age_s > UNCONFIRMED_POLLS * period_s:
+                await self.read_store()
+            if not self._tracker.revision:
+                await self._ask_seeds()
+            await anyio.sleep(period_s)
+
+    async def read_store(self) -> None:
+        """Read the head once; an outage is recorded when it starts and ends."""
+        down = False
+        try:
+            await self._tracker.read_head()
+        except (StoreUnavailable, StoreOutcomeUnknown):
+            down = True
+        if down != self._store_down:
+            self._store_down = down
+            self._events.record("store-reachable", reachable=not down)
+
+    @property
+    def store_down(self) -> bool:
+        return self._store_down
+
+    async def _ask_seeds(self) -> None:
+        for address in self._settings.peers.seeds:
+            await self._fetch(address)
+            if self._tracker.revision:
+                return
+
+    async def heard(
+        self, member: MemberRecord, reply: HeartbeatReply, sent_at: float
+    ) -> None:
+        """Take what a peer's answer to a heartbeat tells."""
+        self._tracker.contact(member.failure_domain, sent_at)
+        for domain, age_s in reply.domain_ages_s.items():
+            self._tracker.contact(domain, sent_at - age_s)
+        if reply.revision == self._tracker.revision:
+            self._tracker.confirm(sent_at - reply.confirmed_age_s)
+        elif reply.revision > self._tracker.revision:
+            self._start_fetch(member.control)
+        if reply.roster_revision > self._group.roster.record.revision:
+            await self._fetch_own_roster(member.control)
+
+    def heartbeat_received(self, heartbeat: Heartbeat) -> None:
+        """Take what a peer's heartbeat tells."""
+        member = self._group.roster.record.find(heartbeat.node)
+        if member is not None and heartbeat.revision > self._tracker.revision:
+            self._start_fetch(member.control)
+        if heartbeat.roster_revision > self._group.roster.record.revision:
+            self._tasks.start_soon(self.read_own_roster)
+
+    def answer_seen(self, service: str, member: Member, answer: Answer) -> None:
+        """Take what an answer tells about revisions."""
+        self._routes.notice(service, answer.roster_revision)
+        if answer.revision > self._tracker.revision:
+            record = self._directory.get(service)
+            found = record.find(member.node) if record is not None else None
+            if found is not None:
+                self._start_fetch(found.control)
+
+    def _start_fetch(self, address: str) -> None:
+        if address not in self._fetching:
+            self._fetching.add(address)
+            self._tasks.start_soon(self._fetch, address)
+
+    async def _fetch(self, address: str) -> None:
+        """Fetch the changes after the own revision from a peer."""
+        try:
+            if not await self._fetch_since(address, self._tracker.revision):
+                await self._fetch_since(address, 0)
+        except (PeerError, InvalidMessage):
+            return
+        finally:
+            self._fetching.discard(address)
+
+    async def _fetch_since(self, address: str, revision: int) -> bool:
+        sent_at = self._clock.monotonic()
+        reply = await self._clients.call(
+            address, ConfigurationRequest(revision), ConfigurationReply
+        )
+        return self._tracker.accept_reply(reply, sent_at)
+
+    async def fetch_roster(self, address: str, service: str) -> RosterRecord | None:
+        """Ask the node at a control address for a service's roster."""
+        reply = await self._clients.call(address, RosterRequest(service), RosterReply)
+        return RosterRecord.decode(reply.roster) if reply.roster else None
+
+    async def _fetch_own_roster(self, address: str) -> None:
+        try:
+            record = await self.fetch_roster(address, self._group.roster.service)
+        except PeerError:
+            return
+        if record is not None:
+            self.take_own_roster(record)
+
+    async def read_own_roster(self) -> None:
+        """Read the own group's roster from the store."""
+        record = await self._directory.refresh(self._group.roster.service)
+        if record is not None:
+            self.take_own_roster(record)
+
+    def take_own_roster(self, record: RosterRecord) -> None:
+        self._group.roster.accept(record)
+        self._routes.accept(self._group.roster.record)
+
+    async def follow_home_services(self, services: list[str]) -> None:
+        """Keep the rosters of services that share quota partitions with this one."""
+        for service in services:
+            if service != self._group.roster.service:
+                await self._routes.ensure(service)
