--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,8 +8,6 @@
 import msgspec
 import pytest
 from absl import flags
-from heathermount.config.documents import decode_change
-from heathermount.standins.store import FakeStore, StoreState
 
 from builders_operations import SECRET, run_control
 from heathermount.cli import actions
@@ -24,6 +22,7 @@
 from heathermount.cli.output import Printer
 from heathermount.cli.rosters import MemberRecord, RosterRecord
 from heathermount.clocks import SystemClock
+from heathermount.config.documents import decode_change
 from heathermount.errors import (
     ConfigurationProblem,
     ConflictingChange,
@@ -34,6 +33,7 @@
     StoreUnavailable,
 )
 from heathermount.events import Event
+from heathermount.standins.store import FakeStore, StoreState
 from heathermount.wire.control import (
     ControlServer,
     DrainReply,
