Measure and steady the shedding threshold and the limit

Cause: the threshold doubled its steps while the queue already filled and cut by evictions of a full queue; the limit cut by the count of server sheds. Change: steps follow the mean of busy requests, cuts follow arrivals minus departures, the limit cuts by the slots that shed requests held, and service that stays slow after cuts becomes the baseline.

--- a/src/heathermount/admission/controller.py
+++ b/src/heathermount/admission/controller.py
@@ -1,6 +1,5 @@
 """Admission of requests to one backend server."""
 
-import math
 from random import Random
 from typing import Final, Self
 
@@ -27,10 +26,13 @@
 
 # Shortest queue bound, in requests; else the bound is the concurrency limit,
 # so that a full queue waits about one service time.
-MIN_CAPACITY: Final = 4
+MIN_CAPACITY: Final = 8
 
-# The queue stands when it was never empty for this long, in seconds.
-STANDING_S: Final = 0.2
+# The queue of a class stands when a request waits longer than this many
+# service times, and at least this many seconds. A full queue is served oldest
+# first within one service time, so that this happens when service slows down.
+STANDING_TIMES: Final = 2.0
+STANDING_S: Final = 0.05
 
 # Queued requests are still served for this long during a drain, in seconds; a
 # leaving server must get no new work after 3 s.
@@ -64,7 +66,6 @@
         "_events",
         "_invariants",
         "_limit",
-        "_nonempty_since",
         "_policy",
         "_queue",
         "_random",
@@ -88,12 +89,11 @@
         self._invariants = invariants
         self._limit = limit
         self._queue = TicketQueue(policy.fair_queueing, policy.cohorts)
-        self._control = SheddingControl(policy.cohorts)
+        self._control = SheddingControl(clock.monotonic(), policy.cohorts)
         self._running = 0
         self._draining = False
         self._drained: anyio.Event | None = None
         self._rolled_at = clock.monotonic()
-        self._nonempty_since = math.inf
 
     @classmethod
     def from_config(
@@ -144,10 +144,12 @@
             return
         permit.released = True
         now = self._clock.monotonic()
+        busy = self._running + len(self._queue)
         self._running -= 1
         self._limit.finished(result, permit.own_time(now), now - permit.granted_at)
         self._advance(now)
         self._dispatch(now)
+        self._control.changed(busy, len(self._queue), now)
 
     def threshold(self) -> Threshold:
         """Return the least important class and cohort that have a chance."""
@@ -217,15 +219,13 @@
     def _enqueue(self, ticket: Ticket, now: float) -> Entry:
         times = self._limit.times
         wait_s = 0.0
-        if not self._standing(now):
+        if not self._queue.stands(ticket.importance, self._standing_since(now)):
             ahead = self._queue.ahead(ticket.importance)
             wait_s = ahead * times.mean_s / self._limit.value
         if ticket.deadline - now < wait_s + times.shortest_s:
             self._control.missed(ticket.importance, ticket.cohort)
             raise DeadlinePassed
-        if not len(self._queue):
-            self._nonempty_since = now
-        entry = self._queue.push(ticket)
+        entry = self._queue.push(ticket, now)
         self._trim()
         return entry
 
@@ -249,14 +249,14 @@
         queue = self._queue
         if len(queue):
             self._drop_expired(now)
-            newest_first = self._standing(now)
+            standing_since = self._standing_since(now)
             while self._running < self._limit.value:
-                entry = queue.pop(newest_first)
+                entry = queue.pop(standing_since)
                 if entry is None:
                     break
                 entry.permit = self._grant(entry.ticket, now)
                 entry.settle(EntryState.GRANTED)
-        self._changed()
+        self._check_drained()
 
     def _drop_expired(self, now: float) -> None:
         self._queue.expire(now + self._limit.times.shortest_s)
@@ -285,13 +285,6 @@
 
     def _leave(self, entry: Entry, state: EntryState) -> None:
         self._queue.remove(entry, state)
-        self._changed()
-
-    def _changed(self) -> None:
-        queued = len(self._queue)
-        if not queued:
-            self._nonempty_since = math.inf
-        self._control.changed(self._running, queued)
         self._check_drained()
 
     def _check_drained(self) -> None:
@@ -311,7 +304,8 @@
         control = self._control
         shed_before = control.sheds
         queued = len(self._queue)
-        control.roll(self._running, queued, self._limit.value, self._capacity())
+        limit = self._limit.value
+        control.roll(self._running, queued, limit, self._capacity(), now)
         if intervals > 1 and self._running < self._limit.value:
             control.idle(intervals - 1)
         if control.sheds != shed_before:
@@ -320,8 +314,10 @@
         self._trim()
         self._dispatch(now)
 
-    def _standing(self, now: float) -> bool:
-        return now - self._nonempty_since >= STANDING_S
+    def _standing_since(self, now: float) -> float:
+        """Return the time before which a waiting request makes a queue stand."""
+        mean_s = self._limit.times.mean_s
+        return now - max(STANDING_S, STANDING_TIMES * mean_s)
 
     def _capacity(self) -> int:
         return max(MIN_CAPACITY, self._limit.value)
--- a/src/heathermount/admission/limit.py
+++ b/src/heathermount/admission/limit.py
@@ -11,7 +11,9 @@
   calls the node cannot see, so this lowers the limit to half the slots only.
 
 A slow deeper service therefore never collapses the limit of the services
-above it: without sheds they keep at least half of their slots.
+above it: without sheds they keep at least half of their slots. When service
+time does not fall after cuts, concurrency was not its cause; then the present
+time becomes the baseline and the limit recovers.
 """
 
 import math
@@ -28,10 +30,21 @@
 # Share of the slots regained per interval: 1 to full in 2 s, the recovery target.
 GROWTH: Final = 0.05
 
-# Bounds of a cut after the server shed requests; between them the cut equals
-# the share of requests that it shed.
-MIN_CUT: Final = 0.05
+# Share regained per interval between these shares of the limit at which the
+# server last shed. With fast growth up to that limit, a server that sheds at 30
+# of 50 announced slots served 85% of its capacity.
+SLOW_GROWTH: Final = 0.01
+NEAR_CEILING: Final = 0.9
+ABOVE_CEILING: Final = 1.1
+
+# That limit is forgotten after this time without a shed, in seconds.
+CEILING_VALIDITY_S: Final = 5.0
+
+# A cut after the server shed requests is the mean number of slots that these
+# requests held, at least one slot and at most this share. Their count would
+# overstate the excess: one slot too many sheds again and again.
 MAX_CUT: Final = 0.3
+SHORTEST_SHED_S: Final = 0.0001
 
 # Cut per interval while service time is high.
 SLOW_CUT: Final = 0.1
@@ -42,6 +55,11 @@
 # milliseconds multiply a short service time without any overload.
 SLOW_MARGIN_S: Final = 0.01
 
+# After this many slow intervals, service time must have fallen to this share
+# of its value at the first one, else concurrency was not the cause.
+TRIAL_INTERVALS: Final = 5
+TRIAL_SHARE: Final = 0.9
+
 # Floors of the weak signals, as shares of the slots.
 SLOW_FLOOR: Final = 0.5
 QUEUED_FLOOR: Final = 0.125
@@ -72,6 +90,7 @@
         "_own_s",
         "_total_s",
         "baseline_s",
+        "latest_s",
         "mean_s",
         "shortest_s",
     )
@@ -79,6 +98,8 @@
     def __init__(self) -> None:
         # Usual service time without waits for deeper calls.
         self.baseline_s = 0.0
+        # The same in the last interval.
+        self.latest_s = 0.0
         # Recent mean time until a slot is free again.
         self.mean_s = 0.0
         # Usual shortest time of an interval: a request with less time left
@@ -105,6 +126,7 @@
         total_s = self._total_s / count
         minimum_s = self._minimum_s
         self._reset()
+        self.latest_s = own_s
         if self.mean_s == 0.0:
             self.baseline_s, self.mean_s, self.shortest_s = own_s, total_s, minimum_s
             return False
@@ -131,14 +153,17 @@
 
     __slots__ = (
         "_adaptive",
+        "_ceiling",
+        "_ceiling_at",
         "_cold_start_s",
-        "_finished",
         "_limit",
         "_peak",
         "_reported_at",
         "_reported_queue",
         "_rolled_at",
-        "_sheds",
+        "_shed_s",
+        "_slow_intervals",
+        "_slow_s",
         "_started_at",
         "slots",
         "times",
@@ -152,8 +177,7 @@
         self._reported_at = now - 2 * REPORT_VALIDITY_S
         self._reported_queue = 0
         self._rolled_at = now
-        self._sheds = 0
-        self._finished = 0
+        self._shed_s = 0.0
         self._peak = 0
         self.resize(slots, now, cold_start_s)
 
@@ -162,6 +186,10 @@
         self.slots = max(1, slots)
         self.times = ServiceTime()
         self._limit = float(self.slots)
+        self._ceiling = math.inf
+        self._ceiling_at = now
+        self._slow_intervals = 0
+        self._slow_s = 0.0
         self._started_at = now
         self._cold_start_s = cold_start_s
         self._update(now)
@@ -175,11 +203,10 @@
         self._peak = max(self._peak, running)
 
     def finished(self, result: RunResult, own_s: float, total_s: float) -> None:
-        self._finished += 1
         if result is RunResult.OK:
             self.times.add(own_s, total_s)
         elif result is RunResult.SHED_BY_SERVER:
-            self._sheds += 1
+            self._shed_s += max(total_s, SHORTEST_SHED_S)
 
     def advance(self, now: float) -> None:
         """Decide anew when at least one interval has passed."""
@@ -187,22 +214,55 @@
         if intervals < 1:
             return
         slow = self.times.roll()
-        if self._sheds:
-            self._cut(min(MAX_CUT, max(MIN_CUT, self._sheds / self._finished)), 1.0)
-        elif slow:
-            queued = self._queues(now)
-            floor = QUEUED_FLOOR if queued else SLOW_FLOOR
+        if self._shed_s > 0.0:
+            self._ceiling = self._base()
+            self._ceiling_at = now
+            excess = self._shed_s / (now - self._rolled_at)
+            self._cut(min(MAX_CUT, excess / self._base()), 1.0)
+        elif slow and self._concurrency_matters():
+            floor = QUEUED_FLOOR if self._queues(now) else SLOW_FLOOR
             self._cut(SLOW_CUT, max(1.0, floor * self.slots))
         else:
-            self._limit += max(1.0, GROWTH * self.slots) * intervals
-            self._limit = min(self._limit, float(self.slots))
+            self._grow(intervals, now)
+        if not slow:
+            self._slow_intervals = 0
         self._start_interval(now)
         self._update(now)
 
+    def _concurrency_matters(self) -> bool:
+        """Tell whether slow service may be an effect of the concurrency."""
+        times = self.times
+        self._slow_intervals += 1
+        if self._slow_intervals == 1:
+            self._slow_s = times.latest_s
+        if self._slow_intervals <= TRIAL_INTERVALS:
+            return True
+        if times.latest_s < TRIAL_SHARE * self._slow_s:
+            return True
+        times.baseline_s = times.latest_s
+        return False
+
+    def _base(self) -> float:
+        """Return the concurrency that the server really had."""
+        return min(self._limit, float(max(1, self._peak)))
+
     def _cut(self, share: float, floor: float) -> None:
-        # The server was overloaded at the concurrency that it really had.
-        base = min(self._limit, float(max(1, self._peak)))
-        self._limit = min(self._limit, max(floor, base * (1.0 - share)))
+        base = self._base()
+        target = base - max(1.0, base * share)
+        self._limit = min(self._limit, max(floor, target))
+
+    def _grow(self, intervals: int, now: float) -> None:
+        if now - self._ceiling_at > CEILING_VALIDITY_S:
+            self._ceiling = math.inf
+        for _ in range(min(intervals, self.slots)):
+            share = GROWTH
+            if NEAR_CEILING <= self._limit / self._ceiling <= ABOVE_CEILING:
+                if self._peak < int(self._limit):
+                    # An unused limit says nothing about the server.
+                    break
+                share = SLOW_GROWTH
+            self._limit += max(0.5, share * self.slots)
+        self._limit = min(self._limit, float(self.slots))
 
     def _queues(self, now: float) -> bool:
         fresh = now - self._reported_at <= REPORT_VALIDITY_S
@@ -210,8 +270,7 @@
 
     def _start_interval(self, now: float) -> None:
         self._rolled_at = now
-        self._sheds = 0
-        self._finished = 0
+        self._shed_s = 0.0
         self._peak = 0
 
     def _update(self, now: float) -> None:
--- a/src/heathermount/admission/queue.py
+++ b/src/heathermount/admission/queue.py
@@ -1,6 +1,7 @@
 """Queue of requests that wait for a free slot of the backend server."""
 
-from collections import OrderedDict
+import math
+from collections import OrderedDict, deque
 from enum import Enum
 from heapq import heapify, heappop, heappush, heapreplace
 from typing import Final
@@ -36,10 +37,22 @@
 class Entry:
     """One waiting request."""
 
-    __slots__ = ("event", "lane", "permit", "rank", "sequence", "state", "ticket")
-
-    def __init__(self, ticket: Ticket, rank: int, sequence: int) -> None:
+    __slots__ = (
+        "event",
+        "lane",
+        "permit",
+        "queued_at",
+        "rank",
+        "sequence",
+        "state",
+        "ticket",
+    )
+
+    def __init__(
+        self, ticket: Ticket, rank: int, sequence: int, queued_at: float
+    ) -> None:
         self.ticket = ticket
+        self.queued_at = queued_at
         # Order of shedding: class, then cohort, then resends; highest first.
         self.rank = rank
         self.sequence = sequence
@@ -79,10 +92,11 @@
     by 1/weight, and the organisation with the lowest tag is served next.
     """
 
-    __slots__ = ("_due", "_organisations", "_virtual", "waiting")
+    __slots__ = ("_by_age", "_due", "_organisations", "_virtual", "waiting")
 
     def __init__(self) -> None:
         self.waiting = 0
+        self._by_age: deque[Entry] = deque()
         self._organisations: dict[str, Organisation] = {}
         self._due: list[tuple[float, int, Organisation]] = []
         self._virtual = 0.0
@@ -96,6 +110,10 @@
         lane[entry.sequence] = entry
         entry.lane = lane
         self.waiting += 1
+        self._by_age.append(entry)
+        if len(self._by_age) > 2 * self.waiting + HEAP_SLACK:
+            waiting = EntryState.WAITING
+            self._by_age = deque(e for e in self._by_age if e.state is waiting)
         if not organisation.active:
             organisation.active = True
             organisation.tag = max(organisation.tag, self._virtual)
@@ -125,9 +143,17 @@
         self._left()
         return entry
 
+    def oldest_at(self) -> float:
+        """Return when the oldest request came; infinity when none waits."""
+        entries = self._by_age
+        while entries and entries[0].state is not EntryState.WAITING:
+            entries.popleft()
+        return entries[0].queued_at if entries else math.inf
+
     def _left(self) -> None:
         self.waiting -= 1
         if self.waiting == 0:
+            self._by_age.clear()
             # A busy period ended: all organisations start equal again.
             self._organisations.clear()
             self._due.clear()
@@ -147,10 +173,12 @@
     """Order of service and order of shedding of waiting requests.
 
     Served next: the most important class; within it the organisation that is
-    due; within that new requests before resends, oldest first or, when asked,
-    newest first. Shed first: the least important class, in it the highest
-    cohort, in it resends, in them the newest. Every operation takes
-    O(log n) amortised time.
+    due; within that new requests before resends, oldest first, or newest first
+    while a request of the class waits since before a given time (the queue
+    stands): then some are served in time instead of all too late.
+
+    Shed first: the least important class, in it the highest cohort, in it
+    resends, in them the newest. Every operation takes O(log n) amortised time.
     """
 
     __slots__ = ("_by_deadline", "_by_rank", "_classes", "_cohorts", "_fair", "_next")
@@ -166,10 +194,10 @@
     def __len__(self) -> int:
         return sum(queue.waiting for queue in self._classes)
 
-    def push(self, ticket: Ticket) -> Entry:
+    def push(self, ticket: Ticket, now: float = 0.0) -> Entry:
         """Add a request."""
         self._next += 1
-        entry = Entry(ticket, self._rank(ticket), self._next)
+        entry = Entry(ticket, self._rank(ticket), self._next, now)
         name = ticket.organisation if self._fair else ""
         self._classes[ticket.importance].push(entry, name)
         shed_order = -((entry.rank << SEQUENCE_BITS) + entry.sequence)
@@ -183,11 +211,15 @@
         self._classes[entry.ticket.importance].remove(entry)
         entry.settle(state)
 
-    def pop(self, newest_first: bool = False) -> Entry | None:
+    def stands(self, importance: int, since: float) -> bool:
+        """Tell whether a request of a class waits since before a time."""
+        return self._classes[importance].oldest_at() < since
+
+    def pop(self, standing_since: float = -math.inf) -> Entry | None:
         """Take the request to serve next; the caller settles it."""
         for queue in self._classes:
             if queue.waiting:
-                entry = queue.pop(newest_first)
+                entry = queue.pop(queue.oldest_at() < standing_since)
                 entry.state = EntryState.GRANTED
                 return entry
         return None
--- a/src/heathermount/admission/shedding.py
+++ b/src/heathermount/admission/shedding.py
@@ -12,12 +12,21 @@
 # that some requests always arrive and recovery is noticed.
 LOWEST_POSITION: Final = 3
 
-# Cut beyond the measured excess, so that a full queue drains.
+# Cut beyond the measured excess while the queue stands, so that it drains.
 EXTRA_CUT: Final = 0.02
 
 # One interval's evictions may include a burst, so a single cut is limited.
 MAX_CUT: Final = 0.5
 
+# Below this share of the limit there is room for more than random variation,
+# and steps up double; between it and the limit they stay at the first step.
+# Doubling up to the limit itself overshot by a class within 0.6 s.
+ROOM: Final = 0.95
+
+# Mean queue to aim at, as a share of its bound: it keeps the server busy when
+# arrivals vary, for a wait of a quarter of a service time.
+TARGET_QUEUE: Final = 0.125
+
 # First step up after a cut and its largest value after doublings, in cohorts.
 # The largest step passes all three classes within 1.6 s.
 FIRST_STEP: Final = 2
@@ -32,11 +41,12 @@
 class SheddingControl:
     """Moves the threshold at the end of each interval.
 
-    It falls by the share of requests at or below it that were shed, walking
-    down the histogram of arrivals from the least important class, or slightly
-    when the queue stands and grows. It rises in doubling steps of cohorts
-    while there is room, and holds in between (hysteresis). Sheds above the
-    threshold do not count: entry nodes already reject those.
+    It falls when requests were shed or the queue stood above half of its
+    bound, by the share of arrivals that exceeded the departures (queue growth
+    and sheds), walking down the histogram of arrivals from the least important
+    class. It rises by steps of cohorts while the server has room, and holds in
+    between (hysteresis). Sheds above the threshold do not count: entry nodes
+    already reject those.
 
     `floor` is the most important class shed in the current interval; classes
     less important than that are not admitted before the interval ends.
@@ -44,18 +54,20 @@
 
     __slots__ = (
         "_arrivals",
+        "_busy_s",
+        "_changed_at",
         "_cohorts",
         "_excess",
-        "_lowest_busy",
         "_lowest_queue",
         "_offered",
         "_queue_at_start",
+        "_started_at",
         "_step",
         "floor",
         "position",
     )
 
-    def __init__(self, cohorts: bool = True) -> None:
+    def __init__(self, now: float, cohorts: bool = True) -> None:
         self._cohorts = cohorts
         self._arrivals = [0.0] * POSITIONS
         self._step = FIRST_STEP
@@ -64,7 +76,9 @@
         self._excess = 0
         self._offered = 0
         self._queue_at_start = 0
-        self._lowest_busy = 0
+        self._busy_s = 0.0
+        self._changed_at = now
+        self._started_at = now
         self._lowest_queue = 0
 
     def threshold(self) -> Threshold:
@@ -93,23 +107,31 @@
         if self._position(importance, cohort) <= self.position:
             self._excess += 1
 
-    def changed(self, running: int, queued: int) -> None:
-        """Note the state after a request left."""
-        self._lowest_busy = min(self._lowest_busy, running + queued)
-        self._lowest_queue = min(self._lowest_queue, queued)
+    def changed(self, busy: int, queued: int, now: float) -> None:
+        """Note a departure: requests running and queued before it, queued after."""
+        self._busy_s += busy * (now - self._changed_at)
+        self._changed_at = now
+        if queued < self._lowest_queue:
+            self._lowest_queue = queued
 
-    def roll(self, running: int, queued: int, limit: int, capacity: int) -> None:
+    def roll(
+        self, running: int, queued: int, limit: int, capacity: int, now: float
+    ) -> None:
         """End an interval."""
-        self.changed(running, queued)
-        stands = self._lowest_queue * 2 > capacity and queued >= self._queue_at_start
-        if self._excess:
-            self._fall(self._excess / max(self._offered, self._excess) + EXTRA_CUT)
-        elif stands:
-            self._fall(EXTRA_CUT)
-        elif self._lowest_busy < limit:
+        self.changed(running + queued, queued, now)
+        busy = self._busy_s / (now - self._started_at)
+        stands = self._lowest_queue * 2 > capacity
+        if self._excess or stands:
+            growth = queued - self._queue_at_start + self._excess
+            share = growth / max(1, self._offered) + (EXTRA_CUT if stands else 0.0)
+            self._fall(share)
+        elif busy < ROOM * limit:
+            self._rise()
+        elif busy < limit + TARGET_QUEUE * capacity:
+            self._step = FIRST_STEP
             self._rise()
         self._arrivals = [count * MEMORY for count in self._arrivals]
-        self._start_interval(running, queued)
+        self._start_interval(queued, now)
 
     def idle(self, intervals: int) -> None:
         """Make up for intervals in which nothing happened."""
@@ -121,13 +143,15 @@
             cohort = COHORTS - 1
         return importance * COHORTS + cohort
 
-    def _start_interval(self, running: int, queued: int) -> None:
+    def _start_interval(self, queued: int, now: float) -> None:
         self.floor = NO_FLOOR
         self._excess = 0
         self._offered = 0
         self._queue_at_start = queued
-        self._lowest_busy = running + queued
         self._lowest_queue = queued
+        self._busy_s = 0.0
+        self._changed_at = now
+        self._started_at = now
 
     def _fall(self, share: float) -> None:
         self._step = FIRST_STEP
--- a/src/heathermount/routing/balancer.py
+++ b/src/heathermount/routing/balancer.py
@@ -23,8 +23,9 @@
 # the requests it counted finish meanwhile.
 LOAD_HALF_LIFE_S: Final = 0.25
 
-# Share of its limit at which a server has no more room for local preference.
-ROOM: Final = 1.0
+# Share of its limit up to which a server of the own failure domain is preferred.
+# The rest is a margin for calls of other nodes that no report shows yet.
+ROOM: Final = 0.8
 
 # Share of its limit that a cold server is given at first.
 COLD_SHARE: Final = 0.1
@@ -172,11 +173,14 @@
         if state is not None:
             state.outstanding += 1
 
-    def finished(self, member: Member, success: bool, load: Load | None = None) -> None:
-        """Count an answer.
+    def finished(
+        self, member: Member, success: bool | None, load: Load | None = None
+    ) -> None:
+        """Count the end of a call; every `started` needs one.
 
-        `success` is false when the server or its node failed; a refusal by an
-        overloaded server is a success, its load keeps further calls away.
+        `success` is false when the server or its node failed, and None when
+        the caller gave up first. A refusal by an overloaded server is a
+        success: its load keeps further calls away.
         """
         state = self._states.get(state_key(member))
         if state is None:
@@ -187,7 +191,7 @@
             state.report(load, now)
         if success:
             self._succeeded(state, now)
-        else:
+        elif success is not None:
             self._failed(state, now)
 
     def report(self, member: Member, load: Load) -> None:
