Add the demo

One command shows a small fleet under a surge, a killed node, a configuration change and a withdrawn key, and checks the records afterwards.

--- /dev/null
+++ b/src/heathermount/standins/demo.py
@@ -0,0 +1,214 @@
+"""Demo: a small fleet serves real calls through a surge, a killed node, a
+configuration change and a withdrawn key.
+
+Run as `python -m heathermount.standins.demo`; it ends by itself in under a
+minute, with an exit code other than zero when a check fails.
+"""
+
+import copy
+import sys
+from collections.abc import Sequence
+from typing import Any, Final
+
+import anyio
+import msgspec
+import uvloop
+from absl import flags
+
+from heathermount.clocks import SystemClock
+from heathermount.events import Event, format_event
+from heathermount.standins.caller import (
+    Caller,
+    CallerSettings,
+    RetrySettings,
+    Surge,
+)
+from heathermount.standins.checks import (
+    RunData,
+    Share,
+    Violation,
+    Withdrawal,
+    check_all,
+)
+from heathermount.standins.commandline import end_on_termination, make_flag_values
+from heathermount.standins.fleet import Fleet
+from heathermount.standins.fleets import SMALL
+from heathermount.standins.loads import make_loads, make_shares
+from heathermount.standins.records import CallResult
+from heathermount.standins.summaries import format_summary, summarise
+
+__all__ = ["main", "run", "run_demo"]
+
+DURATION_S: Final = 24.0
+LOAD_SCALE: Final = 0.6
+
+SURGE: Final = Surge(start_s=4.0, end_s=8.0, factor=6.0)
+SURGING: Final = "cart-2"
+
+KILLED: Final = "pantry-1"
+KILL_AT_S: Final = 10.0
+RESTART_AT_S: Final = 14.0
+
+RAISED: Final = "cart-3"
+RAISED_SHARE: Final = Share(40.0, 80.0)
+CHANGE_AT_S: Final = 12.0
+
+WITHDRAWN: Final = "cart-4"
+WITHDRAW_AT_S: Final = 16.0
+
+AUTHOR: Final = "demo"
+MAX_LINES: Final = 70
+MAX_VIOLATIONS: Final = 20
+
+
+class DemoLog(msgspec.Struct):
+    """What the demo did while calls ran."""
+
+    withdrawals: list[Withdrawal] = msgspec.field(default_factory=list)
+
+
+async def run_demo(seed: int) -> list[Violation]:
+    """Run the demo, print its report and return the violations."""
+    async with Fleet(SMALL, seed) as fleet:
+        print(f"{len(fleet.members)} nodes are ready, calls run for {DURATION_S:g} s")
+        log = DemoLog()
+        caller = Caller(make_settings(fleet, seed), SystemClock())
+        start_us, _ = fleet.events.stamp()
+        async with anyio.create_task_group() as group:
+            group.start_soon(kill_and_restart, fleet)
+            group.start_soon(change_configuration, fleet)
+            group.start_soon(withdraw_key, fleet, log)
+            await caller.run()
+        violations = await check_run(fleet, caller.results, log)
+        print_timeline(await fleet.timeline(), start_us)
+        print(format_summary(summarise(caller.results, DURATION_S)))
+    return violations
+
+
+def make_settings(fleet: Fleet, seed: int) -> CallerSettings:
+    loads = make_loads(fleet.description, fleet.keys, LOAD_SCALE)
+    for load in loads:
+        if load.name == SURGING:
+            load.surges = [SURGE]
+    return CallerSettings(
+        seed=seed,
+        run_name="demo",
+        duration_s=DURATION_S,
+        timeout_s=4.0,
+        entries=fleet.entries(),
+        organisations=loads,
+        retries=RetrySettings(limit=2, delay_s=0.2),
+    )
+
+
+async def kill_and_restart(fleet: Fleet) -> None:
+    await anyio.sleep(KILL_AT_S)
+    await fleet.kill(KILLED)
+    await anyio.sleep(RESTART_AT_S - KILL_AT_S)
+    fleet.restart(KILLED)
+
+
+async def change_configuration(fleet: Fleet) -> None:
+    await anyio.sleep(CHANGE_AT_S)
+    declaration: dict[str, Any] = copy.deepcopy(fleet.declaration)
+    for exception in declaration["exceptions"]:
+        if exception["id"] == f"share-{RAISED}":
+            exception |= {"rate": RAISED_SHARE.rate, "burst": RAISED_SHARE.burst}
+    assert fleet.operator is not None
+    revision = await fleet.operator.apply(declaration, AUTHOR, f"raise {RAISED}")
+    fleet.events.record("configuration-changed", revision=revision, raised=RAISED)
+
+
+async def withdraw_key(fleet: Fleet, log: DemoLog) -> None:
+    await anyio.sleep(WITHDRAW_AT_S)
+    key_id = fleet.keys[WITHDRAWN].split("_")[1]
+    assert fleet.operator is not None
+    await fleet.operator.withdraw_key(key_id, AUTHOR)
+    log.withdrawals.append(Withdrawal(key_id, SystemClock().monotonic()))
+    fleet.events.record("key-withdrawn", key_id=key_id, organisation=WITHDRAWN)
+
+
+async def check_run(
+    fleet: Fleet, results: Sequence[CallResult], log: DemoLog
+) -> list[Violation]:
+    """Check the records, the nodes' invariants and what the demo set out to show."""
+    data = RunData(
+        results=results,
+        records=fleet.run_records(),
+        shares=make_shares(fleet.description) | {RAISED: RAISED_SHARE},
+        withdrawals=log.withdrawals,
+        extra_attempts=fleet.description.extra_attempts,
+    )
+    violations = check_all(data)
+    for subject, count in (await fleet.violations()).items():
+        violations.append(Violation("invariant", subject, f"violated {count} times"))
+    print(f"checked {len(results)} attempts against {len(data.records)} server records")
+    return [*violations, *check_expectations(results, log)]
+
+
+def check_expectations(results: Sequence[CallResult], log: DemoLog) -> list[Violation]:
+    """Check that the demo's events had their effect."""
+    start = min(result.scheduled for result in results)
+    succeeded = [result for result in results if result.succeeded]
+    withdrawn = {withdrawal.key_id for withdrawal in log.withdrawals}
+    expectations = {
+        "calls succeed while a node is down": any(
+            KILL_AT_S < result.sent - start < RESTART_AT_S for result in succeeded
+        ),
+        "a withdrawn key is refused": any(
+            result.status == 401 and result.key_id in withdrawn for result in results
+        ),
+        "the surging organisation is held to its rate": any(
+            result.status == 429 and result.organisation == SURGING
+            for result in results
+        ),
+    }
+    return [
+        Violation("expectation", name, "did not happen")
+        for name, met in expectations.items()
+        if not met
+    ]
+
+
+def print_timeline(events: Sequence[Event], start_us: int) -> None:
+    """Print events since the calls began; a run of equal kinds becomes one line."""
+    lines: list[str] = []
+    last, repeated = "", 0
+    for event in events:
+        if event.wall_us < start_us:
+            continue
+        kind = f"{event.node} {event.kind}"
+        if kind == last:
+            repeated += 1
+            continue
+        if repeated:
+            lines.append(f"{'':>9} ({repeated} more like this)")
+        last, repeated = kind, 0
+        at_s = (event.wall_us - start_us) / 1_000_000
+        lines.append(f"{at_s:>8.3f}s {format_event(event)}")
+    print("time line:")
+    print("\n".join(lines[:MAX_LINES]))
+    if len(lines) > MAX_LINES:
+        print(f"({len(lines) - MAX_LINES} more lines)")
+
+
+def main(arguments: list[str]) -> int:
+    """Run the demo; return the exit code."""
+    values = make_flag_values()
+    flags.DEFINE_integer("seed", 1, "Seed of all random choices.", flag_values=values)
+    values(arguments)
+    end_on_termination()
+    violations = uvloop.run(run_demo(values.seed))
+    for violation in violations[:MAX_VIOLATIONS]:
+        print(f"FAILED {violation.check} {violation.subject}: {violation.detail}")
+    print("all checks passed" if not violations else f"{len(violations)} checks failed")
+    return 1 if violations else 0
+
+
+def run() -> None:
+    """Entry point of the command."""
+    sys.exit(main(sys.argv))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/heathermount/standins/loads.py
@@ -0,0 +1,52 @@
+"""Loads for a described fleet."""
+
+from collections.abc import Mapping
+
+from heathermount.standins.caller import OrganisationLoad, RouteShare
+from heathermount.standins.checks import Share
+from heathermount.standins.fleets import FleetDescription
+
+__all__ = ["make_loads", "make_mix", "make_shares"]
+
+READ_WEIGHT = 2.0
+# Most callers send UUIDv7 idempotency keys, some send keys without a time.
+UUID7_WEIGHT = 0.7
+OPAQUE_WEIGHT = 0.3
+
+
+def make_mix(fleet: FleetDescription) -> list[RouteShare]:
+    """Return all open routes: two readings for each order."""
+    mix = []
+    for route in fleet.routes():
+        if not route.open:
+            continue
+        if route.methods == ("GET",):
+            mix.append(RouteShare(path=route.path, weight=READ_WEIGHT))
+            continue
+        for kind, weight in (("uuid7", UUID7_WEIGHT), ("opaque", OPAQUE_WEIGHT)):
+            order = RouteShare(
+                path=route.path, method="POST", weight=weight, key_kind=kind
+            )
+            mix.append(order)
+    return mix
+
+
+def make_loads(
+    fleet: FleetDescription, keys: Mapping[str, str], scale: float
+) -> list[OrganisationLoad]:
+    """Return a load of `scale` x its rate for each organisation that has a key."""
+    return [
+        OrganisationLoad(
+            name=organisation.name,
+            key=keys[organisation.name],
+            rate=organisation.rate * scale,
+            routes=make_mix(fleet),
+        )
+        for organisation in fleet.organisations
+        if organisation.name in keys
+    ]
+
+
+def make_shares(fleet: FleetDescription) -> dict[str, Share]:
+    """Return each organisation's declared rate and burst."""
+    return {o.name: Share(o.rate, o.burst) for o in fleet.organisations}
