--- a/src/heathermount/standins/backend.py
+++ b/src/heathermount/standins/backend.py
@@ -95,7 +95,11 @@
             listener = self._bind()
             self._http = make_http_server(self.server, self.description)
             self._listening.set()
-            await self._http.serve(sockets=[listener])
+            try:
+                await self._http.serve(sockets=[listener])
+            finally:
+                # A cancelled uvicorn server leaves its listener open.
+                self._close_listeners(listener)
             if self._stopping or not self.server.down:
                 return
             logging.info("event=server-down server=%s", self.description.name)
@@ -110,13 +114,17 @@
         self._port = listener.getsockname()[1]
         return listener
 
+    def _close_listeners(self, *sockets: socket.socket) -> None:
+        # uvicorn sets its list of listeners when it has started.
+        for listener in (*getattr(self._http, "servers", ()), *sockets):
+            listener.close()
+
     def _break_connections(self) -> None:
         """Act as a crashed process: reset every connection and stop listening."""
         if self.description.crash == "exit":
             os._exit(CRASH_EXIT_CODE)
         assert self._http is not None
-        for listener in self._http.servers:
-            listener.close()
+        self._close_listeners()
         for connection in list(self._http.server_state.connections):
             connection.transport.abort()
         self._http.force_exit = True
