--- a/src/heathermount/cli/rosters.py
+++ b/src/heathermount/cli/rosters.py
@@ -14,7 +14,7 @@
 ROSTER_PREFIX: Final = "roster/"
 
 
-class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
+class MemberRecord(msgspec.Struct, frozen=True, kw_only=True):
     """One member of a service's group; addresses are "ip:port"."""
 
     node: str
@@ -25,12 +25,12 @@
     slots: int = 0
 
 
-class RosterRecord(msgspec.Struct, frozen=True, array_like=True):
+class RosterRecord(msgspec.Struct, frozen=True, kw_only=True):
     """The members of one service's group."""
 
     service: str
-    revision: int
-    members: list[MemberRecord]
+    revision: int = 0
+    members: list[MemberRecord] = []
 
 
 def decode_roster(data: bytes) -> RosterRecord:
--- a/src/heathermount/config/checking.py
+++ b/src/heathermount/config/checking.py
@@ -22,7 +22,9 @@
         problem = ConfigurationProblem(
             path, "file", str(error.strerror), "name a file that can be read"
         )
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
+        # Besides its own errors the parser raises a plain ValueError for numbers
+        # of thousands of digits and a RecursionError for deeply nested arrays.
         problem = ConfigurationProblem(path, "file", str(error), "correct the TOML")
     raise ExceptionGroup("invalid file", [problem])
 
--- a/src/heathermount/config/settings.py
+++ b/src/heathermount/config/settings.py
@@ -175,7 +175,8 @@
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return port.isdigit() and int(port) < 65536
+    # int refuses other signs that count as digits, and very long numbers.
+    return port.isascii() and port.isdecimal() and len(port) < 6 and int(port) < 65536
 
 
 def check_addresses(
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -108,6 +108,16 @@
         return TimelineReply([Event(10 - position, 0, self.name, "start", {})])
 
 
+def make_member(node: str, control: str) -> MemberRecord:
+    return MemberRecord(
+        node=node,
+        incarnation="1",
+        peers="127.0.0.1:1",
+        control=control,
+        failure_domain="a",
+    )
+
+
 @asynccontextmanager
 async def run_fleet(*nodes: FakeNode, gone: int = 0) -> AsyncIterator[FleetAccess]:
     """Run nodes on loopback; `gone` more have an entry in the roster only."""
@@ -119,13 +129,13 @@
         server = ControlServer(service, SECRET, SystemClock())
         address = await server.start("127.0.0.1", 0)
         servers.append(server)
-        members.append(MemberRecord(node.name, "1", "", address, "a"))
+        members.append(make_member(node.name, address))
     for position in range(gone):
         async with run_control(ControlServer(service, SECRET, SystemClock())) as lost:
             pass
-        members.append(MemberRecord(f"gone-{position}", "1", "", lost, "b"))
-    roster = msgspec.msgpack.encode(RosterRecord("pantry", 1, members))
-    await store.commit({}, {"roster/pantry": roster})
+        members.append(make_member(f"gone-{position}", lost))
+    roster = RosterRecord(service="pantry", revision=1, members=members)
+    await store.commit({}, {"roster/pantry": msgspec.msgpack.encode(roster)})
     try:
         yield FleetAccess(store, SECRET, timeout_s=0.3)
     finally:
