--- a/src/heathermount/cli/control.py
+++ b/src/heathermount/cli/control.py
@@ -125,7 +125,7 @@
     """Parse flags; print the help or the problem and exit when that ends the run."""
     if {"--help", "-help", "-h", "help"} & set(argv[1:2]) or "--help" in argv:
         print(__doc__)
-        print(values.module_help(__name__) or values.main_module_help())
+        print(values.main_module_help() or values.module_help(__name__))
         sys.exit(ExitCode.OK)
     try:
         return list(values(argv))
@@ -349,3 +349,7 @@
     "undrain": Command(undrain, ("NODE",)),
     "timeline": Command(show_timeline),
 }
+
+
+if __name__ == "__main__":
+    run()
