--- a/src/heathermount/cli/daemon.py
+++ b/src/heathermount/cli/daemon.py
@@ -10,6 +10,7 @@
 from heathermount.clocks import SystemClock
 from heathermount.config.settings import Settings
 from heathermount.errors import ConfigurationProblem
+from heathermount.node.assembly import assemble_node
 from heathermount.node.node import Node
 from heathermount.node.parts import Parts
 from heathermount.store import EtcdStore
@@ -28,9 +29,9 @@
         settings, source, EtcdStore.from_config(settings.store), SystemClock()
     )
     async with anyio.create_task_group() as tasks:
-        node = Node(parts, tasks)
+        node = assemble_node(parts, tasks)
         tasks.start_soon(stop_on_signal, node)
-        await node.run(lambda: None)
+        await node.run()
         tasks.cancel_scope.cancel()
 
 
--- a/src/heathermount/node/control.py
+++ b/src/heathermount/node/control.py
@@ -3,12 +3,9 @@
 from collections.abc import Awaitable, Callable
 
 from heathermount.config.documents import decode_change
-from heathermount.config.settings import Settings
-from heathermount.config.tracker import ConfigTracker
-from heathermount.events import EventLog
-from heathermount.invariants import Invariants
 from heathermount.membership import Directory, Group
 from heathermount.node.executor import Executor
+from heathermount.node.parts import Parts
 from heathermount.ownership import OwnershipManager, encode_record
 from heathermount.wire.control import (
     ConfigurationReply,
@@ -28,7 +25,6 @@
     TimelineReply,
     TimelineRequest,
 )
-from heathermount.wire.link import Identity
 
 __all__ = ["NodeControl"]
 
@@ -52,27 +48,23 @@
 
     def __init__(
         self,
-        settings: Settings,
-        identity: Identity,
-        tracker: ConfigTracker,
+        parts: Parts,
         executor: Executor,
         ownership: OwnershipManager,
         group: Group,
         directory: Directory,
-        events: EventLog,
-        invariants: Invariants,
         update: Callable[[], Awaitable[None]],
         set_draining: Callable[[bool], None],
     ) -> None:
-        self._settings = settings
-        self._identity = identity
-        self._tracker = tracker
+        self._settings = parts.settings
+        self._identity = parts.identity
+        self._tracker = parts.tracker
+        self._events = parts.events
+        self._invariants = parts.invariants
         self._executor = executor
         self._ownership = ownership
         self._group = group
         self._directory = directory
-        self._events = events
-        self._invariants = invariants
         # Reads the store when a pushed change does not follow the own revision.
         self._update = update
         self._set_draining = set_draining
@@ -123,8 +115,7 @@
 
     async def drain(self, request: DrainRequest) -> DrainReply:
         self._set_draining(request.draining)
-        admission = self._executor.admission
-        return DrainReply(admission.load().running if admission is not None else 0)
+        return DrainReply(self._executor.load().running)
 
     async def hand_over(self, request: HandOverRequest) -> HandOverReply:
         accepted = self._ownership.accept_handover(
--- a/src/heathermount/node/dispatcher.py
+++ b/src/heathermount/node/dispatcher.py
@@ -3,15 +3,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from heathermount.clocks import Clock
-from heathermount.config.settings import PolicySettings
-from heathermount.config.tracker import ConfigTracker
 from heathermount.errors import PeerError, PeerLost, PeerTimeout, Refusal
 from heathermount.node.calls import Call
-from heathermount.node.metrics import Metrics
+from heathermount.node.parts import Parts
 from heathermount.node.refusals import deadline_passed, make_refusal, refusal_of
 from heathermount.node.routes import RouteTable
-from heathermount.routing import Balancer, Member, Quarantine, RetryBudget
+from heathermount.routing import Member, RetryBudget
 from heathermount.values import Outcome, Reason
 from heathermount.wire.link import LinkPool
 from heathermount.wire.messages import Answer, Execute
@@ -68,29 +65,23 @@
 
     def __init__(
         self,
-        node: str,
-        policy: PolicySettings,
-        tracker: ConfigTracker,
+        parts: Parts,
         routes: RouteTable,
-        balancer: Balancer,
         budget: RetryBudget,
-        quarantine: Quarantine,
         links: LinkPool,
-        clock: Clock,
-        metrics: Metrics,
         execute_here: Callable[[Execute], Awaitable[Answer]],
         seen: Callable[[str, Member, Answer], None],
     ) -> None:
-        self._node = node
-        self._policy = policy
-        self._tracker = tracker
+        self._node = parts.settings.node.name
+        self._policy = parts.settings.policy
+        self._tracker = parts.tracker
+        self._balancer = parts.balancer
+        self._quarantine = parts.quarantine
+        self._clock = parts.clock
+        self._metrics = parts.metrics
         self._routes = routes
-        self._balancer = balancer
         self._budget = budget
-        self._quarantine = quarantine
         self._links = links
-        self._clock = clock
-        self._metrics = metrics
         self._execute_here = execute_here
         # Called with each answer, to notice newer revisions.
         self._seen = seen
--- a/src/heathermount/node/entry.py
+++ b/src/heathermount/node/entry.py
@@ -5,15 +5,13 @@
 from functools import partial
 
 from heathermount.admission import ThresholdTable
-from heathermount.clocks import Clock
 from heathermount.config.policy import Policy, Route, Treatment
-from heathermount.config.settings import PolicySettings
-from heathermount.config.tracker import ConfigTracker
 from heathermount.errors import Refusal
 from heathermount.node.calls import Call, CallContext
 from heathermount.node.claiming import ClaimedCalls
 from heathermount.node.dispatcher import Dispatcher
 from heathermount.node.http import find_header, passed_headers
+from heathermount.node.parts import Parts
 from heathermount.node.refusals import make_refusal
 from heathermount.quota import QuotaClient
 from heathermount.routing import AttemptLedger, ResendTracker, fingerprint
@@ -45,23 +43,21 @@
 
     def __init__(
         self,
-        policy: PolicySettings,
-        tracker: ConfigTracker,
+        parts: Parts,
         quota: QuotaClient,
         claimed: ClaimedCalls,
         thresholds: ThresholdTable,
         resends: ResendTracker[Answer | Refusal],
         dispatcher: Dispatcher,
-        clock: Clock,
     ) -> None:
-        self._policy = policy
-        self._tracker = tracker
+        self._policy = parts.settings.policy
+        self._tracker = parts.tracker
+        self._clock = parts.clock
         self._quota = quota
         self._claimed = claimed
         self._thresholds = thresholds
         self._resends = resends
         self._dispatcher = dispatcher
-        self._clock = clock
 
     async def call_from_caller(
         self, method: str, path: str, target: str, headers: Headers, body: bytes
--- a/src/heathermount/node/executor.py
+++ b/src/heathermount/node/executor.py
@@ -1,18 +1,14 @@
 """Runs requests against the backend server beside this node."""
 
-import random
 from collections.abc import Awaitable, Callable
 
 import anyio
 
 from heathermount.admission import AdmissionController, Permit, RunResult, Ticket
-from heathermount.clocks import Clock
-from heathermount.config.settings import Settings
-from heathermount.config.tracker import ConfigTracker
 from heathermount.errors import Refusal
-from heathermount.events import EventLog
-from heathermount.invariants import Invariants
-from heathermount.node.calls import CallContext, ContextTable
+from heathermount.membership import RosterRecord
+from heathermount.node.calls import CallContext
+from heathermount.node.parts import Parts
 from heathermount.node.refusals import answer_of, make_refusal
 from heathermount.node.server import (
     AnswerTooLarge,
@@ -21,8 +17,7 @@
     ServerClient,
     ServerUnreachable,
 )
-from heathermount.routing import Quarantine
-from heathermount.values import Outcome, Reason, ServiceThreshold
+from heathermount.values import Load, Outcome, Reason, ServiceThreshold
 from heathermount.wire.messages import Answer, Execute, Suspicion
 
 __all__ = ["Announcement", "Executor"]
@@ -72,9 +67,8 @@
     __slots__ = (
         "_clock",
         "_events",
-        "_invariants",
-        "_random",
-        "_roster_revision",
+        "_parts",
+        "_roster",
         "_server",
         "_settings",
         "_share_suspicion",
@@ -89,34 +83,29 @@
 
     def __init__(
         self,
-        settings: Settings,
-        tracker: ConfigTracker,
-        quarantine: Quarantine,
-        contexts: ContextTable,
-        clock: Clock,
-        rng: random.Random,
-        events: EventLog,
-        invariants: Invariants,
+        parts: Parts,
         share_suspicion: Callable[[Suspicion], Awaitable[None]],
-        roster_revision: Callable[[], int],
+        roster: Callable[[], RosterRecord],
     ) -> None:
-        self._settings = settings
-        self._tracker = tracker
-        self._clock = clock
-        self._random = rng
-        self._events = events
-        self._invariants = invariants
+        self._parts = parts
+        self._settings = parts.settings
+        self._tracker = parts.tracker
+        self._clock = parts.clock
+        self._events = parts.events
         self._share_suspicion = share_suspicion
-        self._roster_revision = roster_revision
+        self._roster = roster
         self._server: ServerClient | None = None
         self.admission: AdmissionController | None = None
         self.announcement: Announcement | None = None
-        self.contexts = contexts
+        self.contexts = parts.contexts
         self.draining = False
-        self.quarantine = quarantine
+        self.quarantine = parts.quarantine
         # False after a refused connection until the server is reached again.
         self.reachable = True
 
+    def load(self) -> Load:
+        return self.admission.load() if self.admission is not None else Load()
+
     def announce(self, announcement: Announcement) -> bool:
         """Take the backend server into service; tell whether it was new."""
         if announcement == self.announcement:
@@ -131,11 +120,12 @@
         self.admission = AdmissionController.from_config(
             self._settings.policy,
             self._clock,
-            self._random,
+            self._parts.rng,
             announcement.slots,
             self._events,
-            self._invariants,
+            self._parts.invariants,
         )
+        self.admission.resize(announcement.slots, announcement.cold_start_s)
         self.reachable = True
         self._events.record(
             "server-announced",
@@ -179,7 +169,7 @@
         answer.spent = message.allowance - context.ledger.remaining
         answer.retried = context.retried
         answer.revision = self._tracker.revision
-        answer.roster_revision = self._roster_revision()
+        answer.roster_revision = self._roster().revision
         answer.thresholds = list(context.thresholds.values())
         if self.admission is not None:
             answer.load = self.admission.load()
--- a/src/heathermount/node/hosting.py
+++ b/src/heathermount/node/hosting.py
@@ -4,22 +4,14 @@
 from typing import Final
 
 from heathermount.claims import ClaimTable
-from heathermount.clocks import Clock
-from heathermount.config.settings import Settings
-from heathermount.config.tracker import ConfigTracker
 from heathermount.errors import InvalidMessage, PeerError, PeerRefused
-from heathermount.invariants import Invariants
 from heathermount.membership import Directory, Group, MemberRecord
-from heathermount.node.clients import ControlClients
-from heathermount.node.partitions import (
-    OwnedPartitions,
-    home_services,
-    wanted_partitions,
-)
+from heathermount.node.partitions import home_services, wanted_partitions
+from heathermount.node.parts import Parts
 from heathermount.ownership import NodeIdentity, OwnerRecord, Partition, decode_record
 from heathermount.quota import Allocator
 from heathermount.wire.control import OwnerReply, OwnerRequest
-from heathermount.wire.link import Identity, open_link
+from heathermount.wire.link import open_link
 
 __all__ = ["NodeHost"]
 
@@ -43,27 +35,16 @@
         "_without_local",
     )
 
-    def __init__(
-        self,
-        settings: Settings,
-        identity: Identity,
-        tracker: ConfigTracker,
-        owned: OwnedPartitions,
-        group: Group,
-        directory: Directory,
-        clients: ControlClients,
-        clock: Clock,
-        invariants: Invariants,
-    ) -> None:
-        self._settings = settings
-        self._identity = identity
-        self._tracker = tracker
-        self._owned = owned
+    def __init__(self, parts: Parts, group: Group, directory: Directory) -> None:
+        self._settings = parts.settings
+        self._identity = parts.identity
+        self._tracker = parts.tracker
+        self._owned = parts.owned
+        self._clients = parts.clients
+        self._clock = parts.clock
+        self._invariants = parts.invariants
         self._group = group
         self._directory = directory
-        self._clients = clients
-        self._clock = clock
-        self._invariants = invariants
         # Monotonic time since which a partition has no candidate in its domain.
         self._without_local: dict[str, float] = {}
 
--- a/src/heathermount/node/updates.py
+++ b/src/heathermount/node/updates.py
@@ -5,18 +5,14 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from heathermount.clocks import Clock
-from heathermount.config.settings import Settings
-from heathermount.config.tracker import ConfigTracker
 from heathermount.errors import (
     InvalidMessage,
     PeerError,
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from heathermount.events import EventLog
 from heathermount.membership import Directory, Group, MemberRecord, RosterRecord
-from heathermount.node.clients import ControlClients
+from heathermount.node.parts import Parts
 from heathermount.node.routes import RouteTable
 from heathermount.routing import Member
 from heathermount.wire.control import (
@@ -51,31 +47,26 @@
         "_tracker",
     )
 
-    def __init__(
-        self,
-        settings: Settings,
-        tracker: ConfigTracker,
-        group: Group,
-        directory: Directory,
-        routes: RouteTable,
-        clients: ControlClients,
-        clock: Clock,
-        events: EventLog,
-        tasks: TaskGroup,
-    ) -> None:
-        self._settings = settings
-        self._tracker = tracker
-        self._group = group
-        self._directory = directory
-        self._routes = routes
-        self._clients = clients
-        self._clock = clock
-        self._events = events
+    def __init__(self, parts: Parts, tasks: TaskGroup) -> None:
+        self._settings = parts.settings
+        self._tracker = parts.tracker
+        self._clients = parts.clients
+        self._clock = parts.clock
+        self._events = parts.events
         self._tasks = tasks
+        self._group: Group
+        self._directory: Directory
+        self._routes: RouteTable
         # Addresses that a configuration is being fetched from.
         self._fetching: set[str] = set()
         self._store_down = False
 
+    def connect(self, group: Group, directory: Directory, routes: RouteTable) -> None:
+        """Set what is built with this object's methods; call it before `run`."""
+        self._group = group
+        self._directory = directory
+        self._routes = routes
+
     async def run(self) -> None:
         """Poll the configuration's head, as the group's reader or if in doubt."""
         period_s = self._settings.timings.config_poll_s
@@ -184,6 +175,13 @@
         self._group.roster.accept(record)
         self._routes.accept(self._group.roster.record)
 
+    def reader_addresses(self) -> list[str]:
+        """Return the control address of the group's reader, if it is another node."""
+        reader = self._group.roster.record.find(self._group.reader())
+        if reader is None or reader.node == self._settings.node.name:
+            return []
+        return [reader.control]
+
     async def follow_home_services(self, services: list[str]) -> None:
         """Keep the rosters of services that share quota partitions with this one."""
         for service in services:
