--- a/src/heathermount/cli/actions.py
+++ b/src/heathermount/cli/actions.py
@@ -7,12 +7,6 @@
 import anyio
 import msgspec
 
-from heathermount.cli.rosters import (
-    ROSTER_PREFIX,
-    MemberRecord,
-    RosterRecord,
-    decode_roster,
-)
 from heathermount.clocks import Clock, SystemClock
 from heathermount.config.checking import load_toml
 from heathermount.config.declaration import Declaration
@@ -33,6 +27,7 @@
     StoreUnavailable,
 )
 from heathermount.events import Event, merge_events
+from heathermount.membership import ROSTER_PREFIX, MemberRecord, RosterRecord
 from heathermount.store import Store
 from heathermount.wire.control import (
     ControlClient,
@@ -230,7 +225,7 @@
         if not nodes:
             raise
         return nodes
-    return list_nodes(decode_roster(item.value) for item in records.values())
+    return list_nodes(RosterRecord.decode(item.value) for item in records.values())
 
 
 def list_nodes(rosters: Iterable[RosterRecord]) -> list[Node]:
@@ -257,7 +252,7 @@
         reply = await access.call(seed, RosterRequest(status.service), RosterReply)
     except PeerError:
         return None
-    return decode_roster(reply.roster) if reply.roster else None
+    return RosterRecord.decode(reply.roster) if reply.roster else None
 
 
 async def read_states(access: FleetAccess, nodes: Iterable[Node]) -> list[NodeState]:
--- a/src/heathermount/config/documents.py
+++ b/src/heathermount/config/documents.py
@@ -42,6 +42,9 @@
 # design allows up to 64 KiB.
 RECENT_BYTES: Final = 6 * 1024
 
+# Deeply nested values end in a RecursionError.
+UNDECODABLE: Final = (msgspec.MsgspecError, RecursionError)
+
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
     """One accepted or proposed change: the document's delta to its parent."""
@@ -149,7 +152,7 @@
     """Decode a change; raise InvalidMessage."""
     try:
         return CHANGE_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except UNDECODABLE as error:
         raise InvalidMessage(f"change cannot be decoded: {error}") from error
 
 
@@ -157,7 +160,7 @@
     """Decode a document; raise InvalidMessage."""
     try:
         return DOCUMENT_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except UNDECODABLE as error:
         raise InvalidMessage(f"document cannot be decoded: {error}") from error
 
 
@@ -178,7 +181,7 @@
     """Decode a head record; raise InvalidMessage."""
     try:
         return HEAD_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except UNDECODABLE as error:
         raise InvalidMessage(f"{HEAD_KEY} cannot be decoded: {error}") from error
 
 
--- a/src/heathermount/membership/directory.py
+++ b/src/heathermount/membership/directory.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from heathermount.clocks import Clock
-from heathermount.errors import PeerError, StoreUnavailable
+from heathermount.errors import InvalidMessage, PeerError, StoreUnavailable
 from heathermount.membership.records import RosterRecord, roster_key
 from heathermount.store import Store
 
@@ -74,6 +74,14 @@
             self.accept(record)
         return self._records.get(service)
 
+    async def read_store(self, service: str) -> RosterRecord | None:
+        """Read a roster from the store, whatever the peers know."""
+        self._read_at[service] = self._clock.monotonic()
+        record = await self._from_store(service)
+        if record is not None:
+            self.accept(record)
+        return self._records.get(service)
+
     def accept(self, record: RosterRecord) -> None:
         known = self._records.get(record.service)
         if known is None or record.revision > known.revision:
@@ -89,7 +97,7 @@
         for address in addresses:
             try:
                 record = await self._fetch(address, service)
-            except PeerError:
+            except (PeerError, InvalidMessage):
                 continue
             if record is not None and record.members:
                 return record
--- a/src/heathermount/membership/records.py
+++ b/src/heathermount/membership/records.py
@@ -1,10 +1,14 @@
 """Roster records: the members of one service, kept in the store."""
 
-from typing import Self
+from typing import Final, Self
 
 import msgspec
 
-__all__ = ["MemberRecord", "RosterRecord", "roster_key"]
+from heathermount.errors import InvalidMessage
+
+__all__ = ["ROSTER_PREFIX", "MemberRecord", "RosterRecord", "roster_key"]
+
+ROSTER_PREFIX: Final = "roster/"
 
 
 class MemberRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -16,7 +20,7 @@
     peers: str
     control: str
     failure_domain: str
-    slots: int
+    slots: int = 1
     cold_start_s: float = 0.0
     # Seconds since the Unix epoch when the backend server was announced.
     joined_at: float = 0.0
@@ -34,7 +38,13 @@
 
     @classmethod
     def decode(cls, data: bytes) -> Self:
-        return msgspec.msgpack.decode(data, type=cls)
+        """Decode a record; raise InvalidMessage for any other bytes."""
+        try:
+            return msgspec.msgpack.decode(data, type=cls)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise InvalidMessage(
+                f"roster record: {error}; run the same version on all nodes"
+            ) from error
 
     def find(self, node: str) -> MemberRecord | None:
         return next((m for m in self.members if m.node == node), None)
@@ -62,4 +72,4 @@
 
 
 def roster_key(service: str) -> str:
-    return f"roster/{service}"
+    return f"{ROSTER_PREFIX}{service}"
--- a/src/heathermount/node/assembly.py
+++ b/src/heathermount/node/assembly.py
@@ -200,7 +200,7 @@
     return Entry(
         parts,
         quota,
-        ClaimedCalls(claims, dispatcher.dispatch, tasks),
+        ClaimedCalls(claims, dispatcher.dispatch, tasks, parts.metrics),
         ThresholdTable.from_config(settings.policy, parts.clock),
         ResendTracker(parts.clock),
         dispatcher,
--- a/src/heathermount/node/claiming.py
+++ b/src/heathermount/node/claiming.py
@@ -10,6 +10,7 @@
 from heathermount.claims import ClaimClient
 from heathermount.errors import Refusal
 from heathermount.node.calls import Call
+from heathermount.node.metrics import Metrics
 from heathermount.node.refusals import make_refusal
 from heathermount.values import Outcome, Reason
 from heathermount.wire.messages import Answer
@@ -31,17 +32,19 @@
 class ClaimedCalls:
     """Runs calls that may not be repeated."""
 
-    __slots__ = ("_claims", "_dispatch", "_tasks")
+    __slots__ = ("_claims", "_dispatch", "_metrics", "_tasks")
 
     def __init__(
         self,
         claims: ClaimClient,
         dispatch: Callable[[Call], Awaitable[Answer]],
         tasks: TaskGroup,
+        metrics: Metrics,
     ) -> None:
         self._claims = claims
         self._dispatch = dispatch
         self._tasks = tasks
+        self._metrics = metrics
 
     async def run(self, call: Call) -> Answer:
         """Return the answer of the one execution; raise Refusal without one."""
@@ -57,6 +60,7 @@
             digest,
             call.deadline,
         )
+        self._metrics.count_claim(reply.state)
         if reply.state != "granted":
             return Answer(reply.status, reply.headers, reply.body, Outcome.RAN)
         # The execution is not cancelled with its caller: the claim then keeps
--- a/src/heathermount/node/entry.py
+++ b/src/heathermount/node/entry.py
@@ -1,7 +1,6 @@
 """The node a call enters at: authentication, limits, claims, dispatch."""
 
 import hashlib
-import secrets
 from functools import partial
 
 from heathermount.admission import ThresholdTable
@@ -11,12 +10,12 @@
 from heathermount.node.claiming import ClaimedCalls
 from heathermount.node.dispatcher import Dispatcher
 from heathermount.node.http import find_header, passed_headers
+from heathermount.node.identifiers import cohort_of, derive_key, make_root
 from heathermount.node.parts import Parts
 from heathermount.node.refusals import make_refusal
 from heathermount.quota import QuotaClient
 from heathermount.routing import AttemptLedger, ResendTracker, fingerprint
 from heathermount.values import (
-    COHORTS,
     INTERNAL_ORGANISATION,
     Importance,
     Outcome,
@@ -34,6 +33,7 @@
         "_claimed",
         "_clock",
         "_dispatcher",
+        "_metrics",
         "_policy",
         "_quota",
         "_resends",
@@ -58,11 +58,20 @@
         self._thresholds = thresholds
         self._resends = resends
         self._dispatcher = dispatcher
+        self._metrics = parts.metrics
 
     async def call_from_caller(
         self, method: str, path: str, target: str, headers: Headers, body: bytes
     ) -> Answer:
         """Run a caller's request; raise Refusal when it is not answered."""
+        started = self._clock.monotonic()
+        answer = await self._call(method, path, target, headers, body)
+        self._metrics.observe_call(self._clock.monotonic() - started, answer.server_s)
+        return answer
+
+    async def _call(
+        self, method: str, path: str, target: str, headers: Headers, body: bytes
+    ) -> Answer:
         policy = self._current_policy()
         if not self._tracker.fresh():
             raise make_refusal(Reason.CONFIGURATION_STALE, Outcome.NOT_RUN)
@@ -71,7 +80,7 @@
         if route is None or not route.open:
             raise make_refusal(Reason.ROUTE_UNKNOWN, Outcome.NOT_RUN)
         treatment = policy.classify(route, owner.organisation, method)
-        root = secrets.token_hex(16)
+        root = make_root(self._clock.wall())
         call = Call(
             root=root,
             service=route.service,
@@ -126,11 +135,13 @@
         token = await self._quota.acquire(
             call.organisation, call.deadline - self._clock.monotonic()
         )
+        self._metrics.count_tokens("spent")
         try:
             return await self._run(call)
         except Refusal as refusal:
             if refusal.outcome is Outcome.NOT_RUN:
                 self._quota.give_back(token)
+                self._metrics.count_tokens("returned")
             raise
 
     async def call_from_server(
@@ -211,7 +222,7 @@
         body: bytes,
     ) -> Call:
         treatment: Treatment = policy.classify(route, INTERNAL_ORGANISATION, method)
-        root = secrets.token_hex(16)
+        root = make_root(self._clock.wall())
         given_key = find_header(headers, b"idempotency-key")
         return Call(
             root=root,
@@ -263,23 +274,9 @@
     return find_header(headers, b"x-api-key")
 
 
-def cohort_of(root: str) -> int:
-    """Return the cohort of a root request: the same at every service."""
-    return hashlib.blake2b(root.encode(), digest_size=2).digest()[0] % COHORTS
-
-
 def identify(call: Call) -> bytes:
     """Return what a resend has in common with its request, headers included."""
     digest = hashlib.blake2b(call.fingerprint, digest_size=16)
     for name, value in call.headers:
         digest.update(b"%d %d " % (len(name), len(value)) + name + value)
     return digest.digest()
-
-
-def derive_key(root: str, route: str, method: str, target: str, body: bytes) -> str:
-    """Return the idempotency key of a deeper call that does not bring one."""
-    digest = hashlib.sha256()
-    for part in (root, route, method, target):
-        digest.update(part.encode() + b"\0")
-    digest.update(body)
-    return digest.hexdigest()
--- a/src/heathermount/node/executor.py
+++ b/src/heathermount/node/executor.py
@@ -4,7 +4,13 @@
 
 import anyio
 
-from heathermount.admission import AdmissionController, Permit, RunResult, Ticket
+from heathermount.admission import (
+    AdmissionController,
+    Permit,
+    RunResult,
+    Shed,
+    Ticket,
+)
 from heathermount.errors import Refusal
 from heathermount.membership import RosterRecord
 from heathermount.node.calls import CallContext
@@ -195,7 +201,11 @@
             resend=message.resend,
         )
         admission = self.admission
-        permit = await admission.admit(ticket)
+        try:
+            permit = await admission.admit(ticket)
+        except Shed:
+            self._parts.metrics.count_shed(message.importance)
+            raise
         if self.quarantine.blocked(message.fingerprint):
             # The suspicion arrived while the request was queued.
             admission.release(permit, RunResult.CANCELLED)
@@ -222,6 +232,7 @@
             raise RuntimeError("a permit was given without a backend server")
         context.permit = permit
         token = self.contexts.add(context)
+        started = self._clock.monotonic()
         result = RunResult.CANCELLED
         answer: ServerAnswer | None = None
         try:
@@ -238,7 +249,13 @@
             result = judge(answer)
             if result is RunResult.SHED_BY_SERVER:
                 raise make_refusal(Reason.SHED, Outcome.NOT_RUN, retry_after_s=1.0)
-            return Answer(answer.status, answer.headers, answer.body, Outcome.RAN)
+            return Answer(
+                answer.status,
+                answer.headers,
+                answer.body,
+                Outcome.RAN,
+                server_s=self._clock.monotonic() - started,
+            )
         except ServerUnreachable:
             result = RunResult.FAILED
             self.reachable = False
--- /dev/null
+++ b/src/heathermount/node/identifiers.py
@@ -0,0 +1,44 @@
+"""Identifiers of root requests, and what is derived from them."""
+
+import hashlib
+import secrets
+import uuid
+from typing import Final
+
+from heathermount.values import COHORTS
+
+__all__ = ["cohort_of", "derive_key", "make_root"]
+
+RANDOM_BITS: Final = 74
+RAND_B_BITS: Final = 62
+
+
+def make_root(wall: float) -> str:
+    """Return a new root request identifier: a UUIDv7 of the wall time (seconds)."""
+    return make_uuid7(int(wall * 1000), secrets.randbits(RANDOM_BITS))
+
+
+def derive_key(root: str, route: str, method: str, target: str, body: bytes) -> str:
+    """Return the idempotency key of a deeper call that does not bring one.
+
+    It has the issue time of its root, so that the owner of the key can tell
+    that a call of a new root request is new after a takeover.
+    """
+    digest = hashlib.sha256()
+    for part in (root, route, method, target):
+        digest.update(part.encode() + b"\0")
+    digest.update(body)
+    random = int.from_bytes(digest.digest()) >> (256 - RANDOM_BITS)
+    return make_uuid7(uuid.UUID(root).int >> 80, random)
+
+
+def cohort_of(root: str) -> int:
+    """Return the cohort of a root request: the same at every service."""
+    return hashlib.blake2b(root.encode(), digest_size=2).digest()[0] % COHORTS
+
+
+def make_uuid7(milliseconds: int, random: int) -> str:
+    """Return a UUIDv7 (RFC 9562) with 74 random bits."""
+    rand_a, rand_b = random >> RAND_B_BITS, random & ((1 << RAND_B_BITS) - 1)
+    value = milliseconds << 80 | 7 << 76 | rand_a << 64 | 2 << 62 | rand_b
+    return str(uuid.UUID(int=value))
--- a/src/heathermount/node/node.py
+++ b/src/heathermount/node/node.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskGroup
 
 from heathermount.claims import ClaimClient
+from heathermount.errors import ConfigurationProblem
 from heathermount.membership import Group
 from heathermount.node.callers import CallerApp
 from heathermount.node.executor import Executor
@@ -181,5 +182,10 @@
         """Take changed certificate files into use without a restart."""
         while self._parts.tls is not None:
             await anyio.sleep(TLS_CHECK_S)
-            if self._parts.tls.reload_if_changed():
-                self._parts.events.record("tls-reloaded")
+            try:
+                if self._parts.tls.reload_if_changed():
+                    self._parts.events.record("tls-reloaded")
+            except ConfigurationProblem as problem:
+                # A certificate may be replaced before its key is; the contexts
+                # in force remain until both fit.
+                self._parts.events.record("tls-unusable", error=str(problem))
--- a/src/heathermount/node/parts.py
+++ b/src/heathermount/node/parts.py
@@ -14,7 +14,7 @@
 from heathermount.node.metrics import Metrics
 from heathermount.node.partitions import OwnedPartitions
 from heathermount.routing import Balancer, Quarantine
-from heathermount.store import Store
+from heathermount.store import CountedStore, Store
 from heathermount.wire.link import Identity
 from heathermount.wire.tls import TlsContexts
 
@@ -52,7 +52,6 @@
     ) -> None:
         name = settings.node.name
         self.settings = settings
-        self.store = store
         self.clock = clock
         self.rng = rng
         self.tls = tls
@@ -62,8 +61,9 @@
         self.events = EventLog(name, clock)
         self.invariants = Invariants(self.events)
         self.metrics = Metrics(clock, self.invariants)
+        self.store = CountedStore(store, self.metrics.count_store_call)
         self.tracker = ConfigTracker.from_config(
-            settings, store, clock, self.events, self.invariants
+            settings, self.store, clock, self.events, self.invariants
         )
         self.balancer = Balancer(clock, rng, settings.node.failure_domain)
         self.quarantine = Quarantine(clock)
--- a/src/heathermount/node/updates.py
+++ b/src/heathermount/node/updates.py
@@ -40,6 +40,7 @@
         "_events",
         "_fetching",
         "_group",
+        "_reading_roster",
         "_routes",
         "_settings",
         "_store_down",
@@ -60,6 +61,7 @@
         # Addresses that a configuration is being fetched from.
         self._fetching: set[str] = set()
         self._store_down = False
+        self._reading_roster = False
 
     def connect(self, group: Group, directory: Directory, routes: RouteTable) -> None:
         """Set what is built with this object's methods; call it before `run`."""
@@ -118,7 +120,9 @@
         member = self._group.roster.record.find(heartbeat.node)
         if member is not None and heartbeat.revision > self._tracker.revision:
             self._start_fetch(member.control)
-        if heartbeat.roster_revision > self._group.roster.record.revision:
+        newer = heartbeat.roster_revision > self._group.roster.record.revision
+        if newer and not self._reading_roster:
+            self._reading_roster = True
             self._tasks.start_soon(self.read_own_roster)
 
     def answer_seen(self, service: str, member: Member, answer: Answer) -> None:
@@ -160,14 +164,20 @@
     async def _fetch_own_roster(self, address: str) -> None:
         try:
             record = await self.fetch_roster(address, self._group.roster.service)
-        except PeerError:
+        except (PeerError, InvalidMessage):
             return
         if record is not None:
             self.take_own_roster(record)
 
     async def read_own_roster(self) -> None:
-        """Read the own group's roster from the store."""
-        record = await self._directory.refresh(self._group.roster.service)
+        """Read the own group's roster from the store.
+
+        The members known so far may not know the one that joined.
+        """
+        try:
+            record = await self._directory.read_store(self._group.roster.service)
+        finally:
+            self._reading_roster = False
         if record is not None:
             self.take_own_roster(record)
 
--- /dev/null
+++ b/src/heathermount/store/counted.py
@@ -0,0 +1,31 @@
+"""Counts the calls that a process makes to the store."""
+
+from collections.abc import Callable
+
+from heathermount.store.interface import Store, Versioned
+
+__all__ = ["CountedStore"]
+
+
+class CountedStore:
+    """A store whose calls are reported by kind: get, list or commit."""
+
+    __slots__ = ("_count", "_store")
+
+    def __init__(self, store: Store, count: Callable[[str], None]) -> None:
+        self._store = store
+        self._count = count
+
+    async def get(self, key: str) -> Versioned | None:
+        self._count("get")
+        return await self._store.get(key)
+
+    async def get_prefix(self, prefix: str) -> dict[str, Versioned]:
+        self._count("list")
+        return await self._store.get_prefix(prefix)
+
+    async def commit(
+        self, compares: dict[str, int], writes: dict[str, bytes | None]
+    ) -> bool:
+        self._count("commit")
+        return await self._store.commit(compares, writes)
--- a/src/heathermount/wire/messages.py
+++ b/src/heathermount/wire/messages.py
@@ -75,6 +75,8 @@
     thresholds: list[ServiceThreshold] = []
     revision: int = 0
     roster_revision: int = 0
+    # Time that the backend server took, in seconds.
+    server_s: float = 0.0
 
 
 class Claim(msgspec.Struct, tag=3, array_like=True):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -20,7 +20,6 @@
     parse_flags,
 )
 from heathermount.cli.output import Printer
-from heathermount.cli.rosters import MemberRecord, RosterRecord
 from heathermount.clocks import SystemClock
 from heathermount.config.documents import decode_change
 from heathermount.errors import (
@@ -33,6 +32,7 @@
     StoreUnavailable,
 )
 from heathermount.events import Event
+from heathermount.membership import MemberRecord, RosterRecord
 from heathermount.standins.store import FakeStore, StoreState
 from heathermount.wire.control import (
     ControlServer,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -14,7 +14,6 @@
 
 from builders import make_settings_table
 from builders_operations import make_identity
-from heathermount.cli.rosters import decode_roster
 from heathermount.clocks import ManualClock
 from heathermount.config.declaration import Declaration
 from heathermount.config.documents import (
@@ -30,6 +29,7 @@
 from heathermount.config.settings import Settings
 from heathermount.errors import HeathermountError, InvalidMessage, Refusal
 from heathermount.events import EventLog
+from heathermount.membership import RosterRecord
 from heathermount.node.metrics import Metrics
 from heathermount.node.observer import Observer
 from heathermount.ownership import decode_record
@@ -131,7 +131,7 @@
     "head": decode_head,
     "snapshot": decode_snapshot,
     "owner": decode_record,
-    "roster": decode_roster,
+    "roster": RosterRecord.decode,
 }
 
 
