Push changes to nodes and check planned stops in the soak run

A withdrawal must hold although the store fails right after the write, which needs the push of the operator's tool; the time of acceptance is taken before the push. Requests that a planned stop leaves unfinished are found by the incarnation that was stopped.

--- a/src/heathermount/standins/backend.py
+++ b/src/heathermount/standins/backend.py
@@ -33,6 +33,7 @@
 RETRY_S: Final = 0.3
 CALL_TIMEOUT_S: Final = 2.0
 CRASH_EXIT_CODE: Final = 70
+CONTROL_CONNECTIONS: Final = 8
 
 
 class QuietServer(uvicorn.Server):
@@ -207,6 +208,9 @@
         timeout_keep_alive=60,
         timeout_graceful_shutdown=1,
         backlog=description.connections,
+        # Beyond this uvicorn answers 503 itself, as a server does that is out
+        # of connections; the control endpoints need a few more.
+        limit_concurrency=description.connections + CONTROL_CONNECTIONS,
     )
     return QuietServer(config)
 
--- a/src/heathermount/standins/checks.py
+++ b/src/heathermount/standins/checks.py
@@ -26,6 +26,7 @@
     "find_excess_losses",
     "find_excess_spending",
     "find_false_not_run",
+    "find_interrupted_runs",
     "find_second_runs",
     "find_uses_after_withdrawal",
     "find_visible_keys",
@@ -55,7 +56,7 @@
 
 
 class Drain(msgspec.Struct, frozen=True):
-    """A server's drain: when it was asked for, and when the server came back."""
+    """A server's drain: when it was asked for, and when its planned stop was over."""
 
     server: str
     started: float
@@ -278,6 +279,28 @@
     return found
 
 
+def find_interrupted_runs(
+    records: Iterable[RunRecord], drains: Iterable[Drain]
+) -> list[Violation]:
+    """Find requests that a planned stop left unfinished (G8)."""
+    by_server: dict[str, list[RunRecord]] = defaultdict(list)
+    for record in records:
+        by_server[record.server].append(record)
+    found: list[Violation] = []
+    for drain in drains:
+        before = [r for r in by_server[drain.server] if r.arrived < drain.ended]
+        if not before or drain.ended == float("inf"):
+            continue
+        # A server that was killed earlier left runs of another incarnation.
+        stopped = max(before, key=lambda record: record.arrived).incarnation
+        found.extend(
+            Violation("interrupted-run", record.test_id, f"{record.run_id} {drain}")
+            for record in before
+            if record.incarnation == stopped and record.outcome is RunOutcome.RUNNING
+        )
+    return found
+
+
 def find_excess_losses(
     records: Iterable[RunRecord], limit: int = MAX_SERVERS_LOST
 ) -> list[Violation]:
@@ -321,5 +344,6 @@
         *find_excess_attempts(records, data.extra_attempts),
         *find_excess_spending(results, records, data.shares),
         *find_work_after_drain(records, data.drains, data.drain_grace_s),
+        *find_interrupted_runs(records, data.drains),
         *find_excess_losses(records),
     ]
--- a/src/heathermount/standins/demo.py
+++ b/src/heathermount/standins/demo.py
@@ -115,16 +115,18 @@
         if exception["id"] == f"share-{RAISED}":
             exception |= {"rate": RAISED_SHARE.rate, "burst": RAISED_SHARE.burst}
     assert fleet.operator is not None
-    revision = await fleet.operator.apply(declaration, AUTHOR, f"raise {RAISED}")
-    fleet.events.record("configuration-changed", revision=revision, raised=RAISED)
+    change = await fleet.operator.apply(declaration, AUTHOR, f"raise {RAISED}")
+    fleet.events.record(
+        "configuration-changed", revision=change.revision, raised=RAISED
+    )
 
 
 async def withdraw_key(fleet: Fleet, log: DemoLog) -> None:
     await anyio.sleep(WITHDRAW_AT_S)
     key_id = fleet.keys[WITHDRAWN].split("_")[1]
     assert fleet.operator is not None
-    await fleet.operator.withdraw_key(key_id, AUTHOR)
-    log.withdrawals.append(Withdrawal(key_id, SystemClock().monotonic()))
+    change = await fleet.operator.withdraw_key(key_id, AUTHOR)
+    log.withdrawals.append(Withdrawal(key_id, change.accepted))
     fleet.events.record("key-withdrawn", key_id=key_id, organisation=WITHDRAWN)
 
 
--- a/src/heathermount/standins/faults.py
+++ b/src/heathermount/standins/faults.py
@@ -10,6 +10,7 @@
 
 from heathermount.clocks import Clock
 from heathermount.errors import (
+    ConfigurationProblem,
     ConflictingChange,
     StoreOutcomeUnknown,
     StoreUnavailable,
@@ -26,10 +27,15 @@
 from heathermount.standins.loads import make_mix
 from heathermount.standins.records import CallResult
 
-__all__ = ["FAULTS", "SoakState", "wait_healed"]
+__all__ = ["FAULTS", "OLDER_STORE", "SoakState", "wait_healed"]
 
 AUTHOR: Final = "soak"
 READY_S: Final = 60.0
+# Share of the withdrawals after which the store fails.
+STORE_LOSS_SHARE: Final = 0.3
+# Name of the fault that runs only when it is asked for: an accepted change may
+# be lost for as long as no node has seen it.
+OLDER_STORE: Final = "older-store"
 # Longest planned stop: the settings' grace and some time to start and end.
 STOP_S: Final = 40.0
 WRITE_ERRORS: Final = (StoreUnavailable, StoreOutcomeUnknown, ConflictingChange)
@@ -187,6 +193,19 @@
     state.busy.discard("store")
 
 
+async def restore_older_store(state: SoakState) -> None:
+    """Let the store come back with the data of some seconds ago."""
+    if "store" in state.busy:
+        return
+    state.busy.add("store")
+    await state.fleet.set_store_faults(snapshot=True)
+    await anyio.sleep(state.seconds(5.0, 10.0))
+    await state.fleet.set_store_faults(down=True)
+    await anyio.sleep(state.seconds(0.5, 3.0))
+    await state.fleet.set_store_faults(restore=True, down=False)
+    state.busy.discard("store")
+
+
 async def withdraw_key(state: SoakState) -> None:
     """Withdraw a key while its organisation calls with it."""
     organisation = state.random.choice(state.fleet.description.organisations).name
@@ -196,20 +215,34 @@
         key = await operator.add_key(organisation, AUTHOR)
     except WRITE_ERRORS:
         return
-
-    async def withdraw() -> None:
-        await anyio.sleep(6.0)
-        key_id = key.split("_")[1]
-        with suppress(*WRITE_ERRORS):
-            await operator.withdraw_key(key_id, AUTHOR)
-            accepted = Withdrawal(key_id, state.clock.monotonic())
-            state.withdrawals.append(accepted)
-            state.fleet.events.record("key-withdrawn", key_id=key_id)
-
     async with anyio.create_task_group() as group:
-        group.start_soon(withdraw)
+        group.start_soon(withdraw_later, state, key.split("_")[1])
         mix = make_mix(state.fleet.description)
-        await state.call(organisation, key, 6.0, 16.0, mix, 0)
+        await state.call(organisation, key, 6.0, 18.0, mix, 0)
+
+
+async def withdraw_later(state: SoakState, key_id: str) -> None:
+    """Withdraw a key; sometimes the store fails right after the write."""
+    operator = state.fleet.operator
+    assert operator is not None
+    await anyio.sleep(6.0)
+    try:
+        change = await operator.withdraw_key(key_id, AUTHOR)
+    except WRITE_ERRORS:
+        return
+    except ConfigurationProblem as error:
+        # The nodes had six seconds to learn of the key.
+        state.violations.append(Violation("accepted-key-lost", key_id, str(error)))
+        return
+    state.withdrawals.append(Withdrawal(key_id, change.accepted))
+    state.fleet.events.record("key-withdrawn", key_id=key_id)
+    if "store" in state.busy or state.random.random() > STORE_LOSS_SHARE:
+        return
+    state.busy.add("store")
+    await state.fleet.set_store_faults(down=True)
+    await anyio.sleep(8.0)
+    await state.fleet.set_store_faults(down=False)
+    state.busy.discard("store")
 
 
 async def surge(state: SoakState) -> None:
@@ -282,15 +315,14 @@
     assert operator is not None
     accepted: list[int] = []
     try:
-        base = await operator.apply(vary(state), AUTHOR, "base of a race")
+        base = (await operator.apply(vary(state), AUTHOR, "base of a race")).revision
     except WRITE_ERRORS:
         return
 
     async def change(author: str) -> None:
         with suppress(*WRITE_ERRORS):
-            accepted.append(
-                await operator.apply(vary(state), author, "race", base_revision=base)
-            )
+            made = await operator.apply(vary(state), author, "race", base)
+            accepted.append(made.revision)
 
     async with anyio.create_task_group() as group:
         for number in range(2):
@@ -333,6 +365,7 @@
     "pause": pause_process,
     "planned-stop": stop_planned,
     "store": break_store,
+    OLDER_STORE: restore_older_store,
     "withdraw-key": withdraw_key,
     "surge": surge,
     "slow-service": slow_service,
--- a/src/heathermount/standins/operators.py
+++ b/src/heathermount/standins/operators.py
@@ -1,22 +1,34 @@
 """What a fleet run needs of the operator's functions.
 
-`StoreOperator` is the only place that knows `heathermount.config.operations`.
+`StoreOperator` is the only place that knows `heathermount.config.operations`
+and `heathermount.cli.actions`.
 """
 
 import importlib
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any, Final, NamedTuple, Protocol
 
-__all__ = ["Operator", "Push", "StoreOperator"]
+from heathermount.clocks import Clock, SystemClock
 
-# Hands an accepted change to some nodes, as the operator's tool does.
-Push = Callable[[Any], Awaitable[None]]
+__all__ = ["AcceptedChange", "Operator", "StoreOperator"]
+
+PREFIX: Final = "/heathermount"
+STORE_TIMEOUT_S: Final = 1.0
+PUSH_TIMEOUT_S: Final = 2.0
+
+
+class AcceptedChange(NamedTuple):
+    """Revision of a change, and when the store accepted it (monotonic, seconds)."""
+
+    revision: int
+    accepted: float
 
 
 class Operator(Protocol):
-    """Changes the configuration of a running fleet; returns its new revision.
+    """Changes the configuration of a running fleet.
 
-    Raises ConflictingChange, StoreUnavailable or StoreOutcomeUnknown.
+    Raises ConflictingChange, StoreUnavailable, StoreOutcomeUnknown or
+    ConfigurationProblem.
     """
 
     async def apply(
@@ -25,29 +37,41 @@
         author: str,
         note: str,
         base_revision: int | None = None,
-    ) -> int:
+    ) -> AcceptedChange:
         """Put a declaration in force."""
 
     async def add_key(self, organisation: str, author: str) -> str:
         """Return a new key of the organisation."""
 
-    async def withdraw_key(self, key_id: str, author: str) -> int:
+    async def withdraw_key(self, key_id: str, author: str) -> AcceptedChange:
         """Withdraw a key."""
 
 
 class StoreOperator:
-    """Writes to the store through the operator's functions, then pushes."""
-
-    __slots__ = ("_declaration", "_operations", "_push", "_secret", "_store")
-
-    def __init__(self, endpoint: str, secret: bytes, push: Push | None = None) -> None:
+    """Writes to the store and pushes to nodes, as the operator's tool does."""
+
+    __slots__ = (
+        "_access",
+        "_actions",
+        "_clock",
+        "_declaration",
+        "_operations",
+        "_secret",
+        "_store",
+    )
+
+    def __init__(
+        self, endpoint: str, secret: bytes, clock: Clock | None = None
+    ) -> None:
         # Imported by name, so that the stand-ins can be used without them.
         self._operations = importlib.import_module("heathermount.config.operations")
         self._declaration = importlib.import_module("heathermount.config.declaration")
+        self._actions = importlib.import_module("heathermount.cli.actions")
         etcd = importlib.import_module("heathermount.store.etcd")
-        self._store = etcd.EtcdStore(endpoint, "/heathermount", 1.0)
+        self._store = etcd.EtcdStore(endpoint, PREFIX, STORE_TIMEOUT_S)
         self._secret = secret
-        self._push = push
+        self._clock = clock or SystemClock()
+        self._access = self._actions.FleetAccess(self._store, secret, PUSH_TIMEOUT_S)
 
     async def apply(
         self,
@@ -55,25 +79,37 @@
         author: str,
         note: str,
         base_revision: int | None = None,
-    ) -> int:
+    ) -> AcceptedChange:
         checked = self._declaration.Declaration.from_config(declaration, note)
-        change = await self._operations.apply_declaration(
-            self._store, checked, author, note, base_revision
+        return await self._push(
+            lambda: self._operations.apply_declaration(
+                self._store, checked, author, note, base_revision
+            )
         )
-        return await self._finish(change)
 
     async def add_key(self, organisation: str, author: str) -> str:
-        key, change = await self._operations.add_key(
-            self._store, organisation, author, self._secret
-        )
-        await self._finish(change)
-        return str(key)
+        issued: list[str] = []
+
+        async def add() -> Any:
+            key, change = await self._operations.add_key(
+                self._store, organisation, author, self._secret
+            )
+            issued.append(str(key))
+            return change
 
-    async def withdraw_key(self, key_id: str, author: str) -> int:
-        change = await self._operations.withdraw_key(self._store, key_id, author)
-        return await self._finish(change)
+        await self._push(add)
+        return issued[0]
+
+    async def withdraw_key(self, key_id: str, author: str) -> AcceptedChange:
+        return await self._push(
+            lambda: self._operations.withdraw_key(self._store, key_id, author)
+        )
 
-    async def _finish(self, change: Any) -> int:
-        if self._push is not None:
-            await self._push(change)
-        return int(change.revision)
+    async def _push(self, write: Callable[[], Awaitable[Any]]) -> AcceptedChange:
+        """Write a change and give it to some nodes of every service."""
+        # The nodes are read before the write: the push must not need the store.
+        nodes = await self._actions.find_nodes(self._access)
+        change = await write()
+        accepted = AcceptedChange(int(change.revision), self._clock.monotonic())
+        await self._actions.push(self._access, change, nodes)
+        return accepted
--- a/src/heathermount/standins/records.py
+++ b/src/heathermount/standins/records.py
@@ -92,6 +92,11 @@
     def depth(self) -> int:
         return self.test_id.count("/")
 
+    @property
+    def incarnation(self) -> str:
+        """Server and start of the server; the first parts of `run_id`."""
+        return self.run_id.rpartition(":")[0]
+
     @property
     def ran(self) -> bool:
         return self.outcome is not RunOutcome.SHED
--- a/src/heathermount/standins/soak.py
+++ b/src/heathermount/standins/soak.py
@@ -20,7 +20,7 @@
 from heathermount.standins.caller import Caller, CallerSettings, RetrySettings
 from heathermount.standins.checks import RunData, Violation, check_all
 from heathermount.standins.commandline import end_on_termination, make_flag_values
-from heathermount.standins.faults import FAULTS, SoakState, wait_healed
+from heathermount.standins.faults import FAULTS, OLDER_STORE, SoakState, wait_healed
 from heathermount.standins.fleet import Fleet
 from heathermount.standins.fleets import CANCELLI, KETTERING, SMALL
 from heathermount.standins.loads import make_loads, make_shares
@@ -52,6 +52,8 @@
     seconds: float = 60.0
     fleet: str = "kettering"
     scale: float = 0.2
+    # Let the store come back with older data, too.
+    older_store: bool = False
     # Directory for the time line, results and records; empty: not kept.
     output: str = ""
 
@@ -84,7 +86,7 @@
             watchers.start_soon(watch_revisions, state, revisions)
             async with anyio.create_task_group() as group:
                 group.start_soon(main_load.run)
-                await cause_faults(state, settings.seconds, faults)
+                await cause_faults(state, settings, faults)
             await wait_healed(state)
             await anyio.sleep(SETTLE_S)
             calm = await run_calm_calls(fleet, settings)
@@ -108,10 +110,12 @@
     )
 
 
-async def cause_faults(state: SoakState, seconds: float, counts: Counter[str]) -> None:
+async def cause_faults(
+    state: SoakState, settings: SoakSettings, counts: Counter[str]
+) -> None:
     """Start random faults until the time is over, then wait for their end."""
-    names = list(FAULTS)
-    ends_at = state.clock.monotonic() + seconds
+    names = [name for name in FAULTS if name != OLDER_STORE or settings.older_store]
+    ends_at = state.clock.monotonic() + settings.seconds
     async with anyio.create_task_group() as group:
         while state.clock.monotonic() < ends_at:
             await anyio.sleep(state.random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
@@ -232,6 +236,12 @@
     flags.DEFINE_float(
         "scale", defaults.scale, "Load, in shares of the rates.", flag_values=values
     )
+    flags.DEFINE_bool(
+        "older_store",
+        defaults.older_store,
+        "Let the store come back with older data.",
+        flag_values=values,
+    )
     flags.DEFINE_string(
         "output", "", "Directory for logs and records.", flag_values=values
     )
@@ -242,6 +252,7 @@
         seconds=values.seconds,
         fleet=values.fleet,
         scale=values.scale,
+        older_store=values.older_store,
         output=values.output,
     )
     report = uvloop.run(run_soak(settings))
--- a/tests/test_standins_checks.py
+++ b/tests/test_standins_checks.py
@@ -123,6 +123,23 @@
     assert len(checks.find_work_after_drain(records, drains)) == 1
 
 
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, 1),
+        ({"run_id": "pantry-1:earlier:1"}, 0),
+        ({"outcome": RunOutcome.CANCELLED}, 0),
+        ({"arrived": 21.0}, 0),
+    ],
+)
+def test_finds_interrupted_runs(fields: dict[str, object], expected: int) -> None:
+    """Guards against a planned stop that drops the requests it should finish."""
+    running = make_run(**{"outcome": RunOutcome.RUNNING, "arrived": 11.0} | fields)
+    records = [running, make_run(arrived=12.0)]
+    found = checks.find_interrupted_runs(records, [Drain("pantry-1", 10.0, 20.0)])
+    assert len(found) == expected
+
+
 def test_finds_excess_losses() -> None:
     """Guards against one request that takes down server after server."""
     fields = {"outcome": RunOutcome.CRASHED, "path": "/pantry/crash"}
