Report processes that end by themselves

A node that ended on its own was started again at the end of a soak run without a word; it is a violation now, in the soak and in the demo.

--- a/src/heathermount/standins/demo.py
+++ b/src/heathermount/standins/demo.py
@@ -144,6 +144,8 @@
     violations = check_all(data)
     for subject, count in (await fleet.violations()).items():
         violations.append(Violation("invariant", subject, f"violated {count} times"))
+    for name, detail in fleet.ended().items():
+        violations.append(Violation("process-ended", name, detail))
     print(f"checked {len(results)} attempts against {len(data.records)} server records")
     return [*violations, *check_expectations(results, log)]
 
--- a/src/heathermount/standins/faults.py
+++ b/src/heathermount/standins/faults.py
@@ -346,11 +346,10 @@
     """Heal everything and wait until the fleet is ready."""
     fleet = state.fleet
     await fleet.set_store_faults(down=False, delay_s=0.0, lose_answer_share=0.0)
-    for name, process in fleet.processes.items():
-        if process.paused:
-            fleet.resume(name)
-        if not process.running:
-            fleet.restart(name)
+    # Every fault has started what it ended.
+    for name, detail in fleet.ended().items():
+        state.violations.append(Violation("process-ended", name, detail))
+        fleet.restart(name)
     for name in fleet.members:
         await heal_server(fleet, name)
     try:
--- a/src/heathermount/standins/fleet.py
+++ b/src/heathermount/standins/fleet.py
@@ -362,6 +362,14 @@
             found.update({f"{name}/{k}": count for k, count in logged.items() if count})
         return dict(found)
 
+    def ended(self) -> dict[str, str]:
+        """Return the processes that do not run, with their exit code and last line."""
+        return {
+            name: f"exit code {process.returncode}: {process.log_tail(1)}"
+            for name, process in self.processes.items()
+            if not process.running
+        }
+
     async def timeline(self) -> list[Event]:
         """Return the events of all nodes and of this runner in causal order."""
         await self._collect_events(self.members)
