Clear requests that complete of crash suspicions and try suspects alone

Change: a suspected request runs only at the member that its fingerprint ranks first, one at a time; a completion clears the fingerprint in the whole group; proven fingerprints are blocked after four separate losses; a broken-off answer of a living server is no loss; each start of a server counts on its own. Idle connections to the backend server are closed in time and bounded by its limit.

--- a/src/heathermount/node/assembly.py
+++ b/src/heathermount/node/assembly.py
@@ -42,7 +42,9 @@
     links = LinkPool(parts.identity, tasks, parts.metrics.traffic)
     beats = Heartbeats(parts, links)
     updates, group, directory, routes = build_membership(parts, tasks, links, beats)
-    executor = Executor(parts, beats.share_suspicion, lambda: group.roster.record)
+    executor = Executor(
+        parts, beats.share_suspicion, beats.run_at, lambda: group.roster.record
+    )
     beats.group, beats.executor = group, executor
     ownership = build_ownership(parts, group, directory)
     owners = Owners(parts, links, ownership)
--- a/src/heathermount/node/executor.py
+++ b/src/heathermount/node/executor.py
@@ -1,5 +1,6 @@
 """Runs requests against the backend server beside this node."""
 
+import secrets
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -16,6 +17,7 @@
 from heathermount.node.calls import CallContext
 from heathermount.node.parts import Parts
 from heathermount.node.refusals import answer_of, make_refusal
+from heathermount.node.routes import to_member
 from heathermount.node.server import (
     AnswerTooLarge,
     ServerAnswer,
@@ -23,8 +25,9 @@
     ServerClient,
     ServerUnreachable,
 )
+from heathermount.routing import Member, trial_member
 from heathermount.values import Load, Outcome, Reason, ServiceThreshold
-from heathermount.wire.messages import Answer, Execute, Suspicion
+from heathermount.wire.messages import Answer, Execute, QuarantineNotice, Suspicion
 
 __all__ = ["Announcement", "Executor"]
 
@@ -75,9 +78,11 @@
         "_events",
         "_parts",
         "_roster",
+        "_run_at",
         "_server",
+        "_server_name",
         "_settings",
-        "_share_suspicion",
+        "_share_notice",
         "_tracker",
         "admission",
         "announcement",
@@ -90,7 +95,8 @@
     def __init__(
         self,
         parts: Parts,
-        share_suspicion: Callable[[Suspicion], Awaitable[None]],
+        share_notice: Callable[[QuarantineNotice], Awaitable[None]],
+        run_at: Callable[[Member, Execute], Awaitable[Answer]],
         roster: Callable[[], RosterRecord],
     ) -> None:
         self._parts = parts
@@ -98,11 +104,15 @@
         self._tracker = parts.tracker
         self._clock = parts.clock
         self._events = parts.events
-        self._share_suspicion = share_suspicion
+        self._share_notice = share_notice
+        self._run_at = run_at
         self._roster = roster
         self._server: ServerClient | None = None
         self.admission: AdmissionController | None = None
         self.announcement: Announcement | None = None
+        # Names this start of the backend server: one that comes back after a
+        # crash and is lost again counts twice.
+        self._server_name = ""
         self.contexts = parts.contexts
         self.draining = False
         self.quarantine = parts.quarantine
@@ -132,7 +142,7 @@
             self._parts.invariants,
         )
         self.admission.resize(announcement.slots, announcement.cold_start_s)
-        self.reachable = True
+        self._mark_reachable()
         self._events.record(
             "server-announced",
             address=announcement.address,
@@ -156,9 +166,17 @@
         if self._server is None or self.announcement is None:
             return
         reachable = await self._server.probe()
-        if reachable != self.reachable:
-            self.reachable = reachable
-            self._events.record("server-reachable", reachable=reachable)
+        if reachable == self.reachable:
+            return
+        if reachable:
+            self._mark_reachable()
+        self.reachable = reachable
+        self._events.record("server-reachable", reachable=reachable)
+
+    def _mark_reachable(self) -> None:
+        self.reachable = True
+        start = secrets.token_hex(4)
+        self._server_name = f"{self._settings.node.name}/{start}"
 
     async def execute(self, message: Execute) -> Answer:
         """Run a request or refuse it; the answer carries load and thresholds."""
@@ -191,6 +209,11 @@
             raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
         if self.quarantine.blocked(message.fingerprint):
             raise make_refusal(Reason.QUARANTINED, Outcome.NOT_RUN)
+        if self.quarantine.suspicions(message.fingerprint):
+            trial = self._find_trial_member(message.fingerprint)
+            if trial is not None and trial.node != self._settings.node.name:
+                message.deadline_s = context.deadline - self._clock.monotonic()
+                return await self._run_at(trial, message)
         ticket = Ticket(
             root=message.root,
             organisation=message.organisation,
@@ -206,11 +229,41 @@
         except Shed:
             self._parts.metrics.count_shed(message.importance)
             raise
-        if self.quarantine.blocked(message.fingerprint):
-            # The suspicion arrived while the request was queued.
+        # A suspicion may have arrived while the request was queued.
+        try:
+            await self._enter_trial(message, context)
+        except BaseException:
             admission.release(permit, RunResult.CANCELLED)
+            raise
+        try:
+            answer = await self._run(message, context, admission, permit)
+        finally:
+            self.quarantine.leave(message.fingerprint)
+        if answer.outcome == Outcome.RAN:
+            await self._clear(message.fingerprint)
+        return answer
+
+    async def _enter_trial(self, message: Execute, context: CallContext) -> None:
+        """Wait until the request may run; raise Refusal when it must not."""
+        entered = False
+        with anyio.move_on_after(context.deadline - self._clock.monotonic()):
+            entered = await self.quarantine.enter_when_alone(message.fingerprint)
+        if entered:
+            return
+        if self.quarantine.blocked(message.fingerprint):
             raise make_refusal(Reason.QUARANTINED, Outcome.NOT_RUN)
-        return await self._run(message, context, admission, permit)
+        raise make_refusal(Reason.DEADLINE, Outcome.NOT_RUN)
+
+    def _find_trial_member(self, fingerprint: bytes) -> Member | None:
+        members = [to_member(record) for record in self._roster().members]
+        return trial_member(fingerprint, members)
+
+    async def _clear(self, fingerprint: bytes) -> None:
+        """Tell the group that a suspected request has completed."""
+        if not self.quarantine.completed(fingerprint):
+            return
+        suspicion = Suspicion(fingerprint, self._server_name, 0.0)
+        await self._share_notice(QuarantineNotice(suspicion, cleared=True))
 
     def _check_key(self, message: Execute) -> None:
         """Recheck the key: this node's configuration may be newer than the entry's."""
@@ -260,8 +313,13 @@
             result = RunResult.FAILED
             self.reachable = False
             raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN) from None
-        except ServerBroke:
+        except ServerBroke as broke:
+            if broke.answering and await self._server.probe():
+                # The server lives; it broke off its answer.
+                result = RunResult.FAILED
+                raise make_refusal(Reason.ANSWER_BROKEN, Outcome.UNKNOWN) from None
             result = RunResult.CRASHED
+            self.reachable = False
             return await self._suspect(message)
         except AnswerTooLarge:
             result = RunResult.OK
@@ -273,9 +331,7 @@
 
     async def _suspect(self, message: Execute) -> Answer:
         """Share the suspicion before anyone can send the request again."""
-        suspicions = self.quarantine.suspect(
-            message.fingerprint, self._settings.node.name
-        )
+        suspicions = self.quarantine.suspect(message.fingerprint, self._server_name)
         self._events.record(
             "crash-suspected",
             root=message.root,
@@ -283,8 +339,8 @@
             route=message.route,
             suspicions=suspicions,
         )
-        suspicion = Suspicion(message.fingerprint, self._settings.node.name, 0.0)
-        await self._share_suspicion(suspicion)
+        suspicion = Suspicion(message.fingerprint, self._server_name, 0.0)
+        await self._share_notice(QuarantineNotice(suspicion))
         answer = answer_of(make_refusal(Reason.SERVER_FAILED, Outcome.UNKNOWN))
         answer.crashed = True
         return answer
--- a/src/heathermount/node/heartbeats.py
+++ b/src/heathermount/node/heartbeats.py
@@ -8,12 +8,16 @@
 from heathermount.membership import Group
 from heathermount.node.executor import Executor
 from heathermount.node.parts import Parts
+from heathermount.node.refusals import make_refusal
+from heathermount.routing import Member
+from heathermount.values import Outcome, Reason
 from heathermount.wire.link import LinkPool
 from heathermount.wire.messages import (
+    Answer,
+    Execute,
     Heartbeat,
     HeartbeatReply,
     QuarantineNotice,
-    Suspicion,
 )
 
 __all__ = ["Heartbeats"]
@@ -64,17 +68,30 @@
             stamp=parts.events.stamp(),
         )
 
-    async def share_suspicion(self, suspicion: Suspicion) -> None:
-        """Tell the group about a lost server before the failed answer is given."""
+    async def share_suspicion(self, notice: QuarantineNotice) -> None:
+        """Tell the group about a lost server, or about a cleared fingerprint."""
         with anyio.move_on_after(SHARE_TIMEOUT_S):
             async with anyio.create_task_group() as tasks:
                 for peer in list(self.group.peers.values()):
-                    tasks.start_soon(self._tell, peer.member.peers, suspicion)
+                    tasks.start_soon(self._tell, peer.member.peers, notice)
 
-    async def _tell(self, address: str, suspicion: Suspicion) -> None:
+    async def run_at(self, member: Member, message: Execute) -> Answer:
+        """Run a request at another member of the group.
+
+        Raises Refusal when it certainly did not run there.
+        """
+        try:
+            answer = await self._links.call(member.peers, message, message.deadline_s)
+        except PeerError as error:
+            if error.sent:
+                raise make_refusal(Reason.SERVER_FAILED, Outcome.UNKNOWN) from None
+            raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN) from None
+        if not isinstance(answer, Answer):
+            raise make_refusal(Reason.ANSWER_BROKEN, Outcome.UNKNOWN)
+        return answer
+
+    async def _tell(self, address: str, notice: QuarantineNotice) -> None:
         try:
-            await self._links.call(
-                address, QuarantineNotice(suspicion), SHARE_TIMEOUT_S
-            )
+            await self._links.call(address, notice, SHARE_TIMEOUT_S)
         except PeerError:
             return
--- a/src/heathermount/node/peers.py
+++ b/src/heathermount/node/peers.py
@@ -99,5 +99,8 @@
 
     @_answer.register
     async def _(self, message: QuarantineNotice) -> Received:
-        self._quarantine.merge([message.suspicion])
+        if message.cleared:
+            self._quarantine.clear(message.suspicion.fingerprint)
+        else:
+            self._quarantine.merge([message.suspicion])
         return Received()
--- a/src/heathermount/node/routes.py
+++ b/src/heathermount/node/routes.py
@@ -6,7 +6,7 @@
 from heathermount.membership import Directory, MemberRecord, RosterRecord
 from heathermount.routing import Balancer, Member
 
-__all__ = ["RouteTable"]
+__all__ = ["RouteTable", "to_member"]
 
 
 class RouteTable:
--- a/src/heathermount/node/server.py
+++ b/src/heathermount/node/server.py
@@ -1,5 +1,6 @@
 """HTTP client towards the backend server beside this node."""
 
+from collections import deque
 from typing import Final
 
 import anyio
@@ -42,7 +43,14 @@
 
 
 class ServerBroke(Exception):
-    """The connection broke while the request ran."""
+    """The connection broke while the request ran.
+
+    `answering` tells whether the answer had begun.
+    """
+
+    def __init__(self, cause: str, answering: bool) -> None:
+        super().__init__(cause)
+        self.answering = answering
 
 
 class AnswerTooLarge(Exception):
@@ -83,7 +91,7 @@
         self._clock = clock
         self._connections = connections
         self._slots = anyio.Semaphore(connections, fast_acquire=True)
-        self._idle: list[tuple[float, httpcore.AsyncHTTPConnection]] = []
+        self._idle: deque[tuple[float, httpcore.AsyncHTTPConnection]] = deque()
 
     async def call(
         self,
@@ -103,21 +111,35 @@
         async with self._slots:
             # A request that may not be repeated gets a new connection: a reused
             # one may be closed by the server just as the request is sent.
-            connection = self._take_idle() if repeatable else None
+            connection = await self._take_idle() if repeatable else None
+            await self._make_room()
             if connection is None:
                 connection = httpcore.AsyncHTTPConnection(
                     self._origin, keepalive_expiry=IDLE_EXPIRY_S
                 )
             return await self._exchange(connection, method, target, headers, body)
 
-    def _take_idle(self) -> httpcore.AsyncHTTPConnection | None:
+    async def _take_idle(self) -> httpcore.AsyncHTTPConnection | None:
+        """Return the connection used last, if it is still good."""
         oldest = self._clock.monotonic() - IDLE_EXPIRY_S
         while self._idle:
             idle_since, connection = self._idle.pop()
             if idle_since >= oldest and not connection.has_expired():
                 return connection
+            await connection.aclose()
         return None
 
+    async def _make_room(self) -> None:
+        """Close old idle connections, and any above the server's limit."""
+        oldest = self._clock.monotonic() - IDLE_EXPIRY_S
+        in_use = self._connections - self._slots.value
+        while self._idle:
+            idle_since, connection = self._idle[0]
+            if idle_since >= oldest and in_use + len(self._idle) <= self._connections:
+                return
+            self._idle.popleft()
+            await connection.aclose()
+
     async def _exchange(
         self,
         connection: httpcore.AsyncHTTPConnection,
@@ -139,8 +161,10 @@
             extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
         )
         reusable = False
+        answering = False
         try:
             response = await connection.handle_async_request(request)
+            answering = True
             chunks = []
             size = 0
             async for chunk in response.aiter_stream():
@@ -159,7 +183,7 @@
             httpcore.RemoteProtocolError,
             httpcore.LocalProtocolError,
         ) as error:
-            raise ServerBroke(str(error)) from error
+            raise ServerBroke(str(error), answering) from error
         finally:
             if reusable:
                 self._idle.append((self._clock.monotonic(), connection))
--- a/src/heathermount/routing/quarantine.py
+++ b/src/heathermount/routing/quarantine.py
@@ -5,6 +5,8 @@
 from hashlib import blake2b
 from typing import Final
 
+import anyio
+
 from heathermount.clocks import Clock
 from heathermount.routing.members import Member
 from heathermount.wire.messages import Suspicion
@@ -15,6 +17,10 @@
 # last loss, in seconds.
 BLOCK_AT: Final = 2
 DURATION_S: Final = 300.0
+BLOCK_PROVEN_AT: Final = 4
+
+# Servers lost within this time of each other, in seconds, may have one cause.
+TOGETHER_S: Final = 1.0
 
 # Bounds of memory: fingerprints of each kind, and servers kept for each.
 MAX_FINGERPRINTS: Final = 4096
@@ -44,16 +50,39 @@
     has one suspicion, at most one request with it runs at a time at this node
     (`enter`); a request is sent only to the member that `trial_member` names,
     whose node applies the same rule, so one runs in the fleet.
+
+    A crash also breaks requests that only happened to run at that server. A
+    request that crashes servers never completes, so one that completes clears
+    its fingerprint of the losses until then (`completed`). A fingerprint that
+    completed at this node during the last minutes is only blocked after four
+    losses, at least a second apart and without a completion in between: a rack
+    that fails, or another request that crashes servers, takes many requests
+    with it that are proven.
     """
 
-    __slots__ = ("_blocked", "_clock", "_running", "_suspected", "_turn")
+    __slots__ = (
+        "_blocked",
+        "_cleared",
+        "_clock",
+        "_completed",
+        "_ended",
+        "_running",
+        "_suspected",
+        "_turn",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         # Both in order of insertion; the oldest is forgotten when full.
         self._suspected: OrderedDict[bytes, Suspect] = OrderedDict()
         self._blocked: OrderedDict[bytes, Suspect] = OrderedDict()
+        # Monotonic time of the last clearance, oldest first.
+        self._cleared: OrderedDict[bytes, float] = OrderedDict()
+        # Monotonic time of the last completion here, oldest first.
+        self._completed: OrderedDict[bytes, float] = OrderedDict()
         self._running: dict[bytes, int] = {}
+        # Set when a request ends that others with its fingerprint wait for.
+        self._ended: dict[bytes, anyio.Event] = {}
         self._turn = 0
 
     def suspect(self, fingerprint: bytes, server: str, now: float | None = None) -> int:
@@ -63,6 +92,8 @@
         """
         current = self._clock.monotonic()
         lost_at = current if now is None else min(now, current)
+        if lost_at <= self._cleared.get(fingerprint, float("-inf")):
+            return self.suspicions(fingerprint)
         suspect = self._find(fingerprint, current)
         if suspect is None:
             if lost_at < current - DURATION_S:
@@ -75,7 +106,34 @@
             suspect.servers[server] = lost_at
             suspect.last = max(suspect.servers.values())
         self._file(fingerprint, suspect)
-        return len(suspect.servers)
+        return self._count(fingerprint, suspect)
+
+    def completed(self, fingerprint: bytes) -> bool:
+        """Note that a request has completed; tell whether that cleared a suspicion."""
+        now = self._clock.monotonic()
+        self._completed[fingerprint] = now
+        self._completed.move_to_end(fingerprint)
+        if len(self._completed) > MAX_FINGERPRINTS:
+            self._completed.popitem(last=False)
+        if fingerprint not in self._suspected:
+            return False
+        self.clear(fingerprint, now)
+        return True
+
+    def clear(self, fingerprint: bytes, now: float | None = None) -> None:
+        """Drop the losses until `now` (monotonic): a request has completed.
+
+        A blocked fingerprint stays blocked: it does not run any more.
+        """
+        cleared_at = self._clock.monotonic() if now is None else now
+        suspect = self._suspected.get(fingerprint)
+        if suspect is None or suspect.last > cleared_at:
+            return
+        del self._suspected[fingerprint]
+        self._cleared[fingerprint] = cleared_at
+        self._cleared.move_to_end(fingerprint)
+        if len(self._cleared) > MAX_FINGERPRINTS:
+            self._cleared.popitem(last=False)
 
     def merge(self, suspicions: Iterable[Suspicion]) -> None:
         """Take suspicions from another node."""
@@ -90,7 +148,7 @@
         if not self._suspected and not self._blocked:
             return 0
         suspect = self._find(fingerprint, self._clock.monotonic())
-        return len(suspect.servers) if suspect else 0
+        return self._count(fingerprint, suspect) if suspect else 0
 
     def blocked(self, fingerprint: bytes) -> bool:
         """Tell whether a fingerprint is refused."""
@@ -108,6 +166,17 @@
         self._running[fingerprint] = running + 1
         return True
 
+    async def enter_when_alone(self, fingerprint: bytes) -> bool:
+        """Wait while another suspected request runs, then `enter`.
+
+        False when the fingerprint is or becomes blocked.
+        """
+        while not self.enter(fingerprint):
+            if self.blocked(fingerprint):
+                return False
+            await self._ended.setdefault(fingerprint, anyio.Event()).wait()
+        return True
+
     def leave(self, fingerprint: bytes) -> None:
         """End a request that `enter` let start."""
         running = self._running.get(fingerprint, 0) - 1
@@ -115,6 +184,9 @@
             self._running[fingerprint] = running
         else:
             self._running.pop(fingerprint, None)
+        ended = self._ended.pop(fingerprint, None)
+        if ended is not None:
+            ended.set()
 
     def recent(self) -> list[Suspicion]:
         """Return suspicions to share with the group in one heartbeat."""
@@ -136,6 +208,18 @@
         self._turn = start + RECENT_IN_TURN
         return newest + (older + older)[start : start + RECENT_IN_TURN]
 
+    def _count(self, fingerprint: bytes, suspect: Suspect) -> int:
+        """Return the losses that count against a fingerprint."""
+        completed_at = self._completed.get(fingerprint, float("-inf"))
+        if completed_at < self._clock.monotonic() - DURATION_S:
+            return len(suspect.servers)
+        times = sorted(suspect.servers.values())
+        losses = 1 + sum(
+            later - earlier > TOGETHER_S
+            for earlier, later in zip(times, times[1:], strict=False)
+        )
+        return BLOCK_AT if losses >= BLOCK_PROVEN_AT else 0
+
     def _find(self, fingerprint: bytes, now: float) -> Suspect | None:
         for suspects in (self._suspected, self._blocked):
             suspect = suspects.get(fingerprint)
@@ -148,7 +232,7 @@
 
     def _file(self, fingerprint: bytes, suspect: Suspect) -> None:
         suspects = self._suspected
-        if len(suspect.servers) >= BLOCK_AT:
+        if self._count(fingerprint, suspect) >= BLOCK_AT:
             self._suspected.pop(fingerprint, None)
             suspects = self._blocked
         suspects[fingerprint] = suspect
--- a/src/heathermount/wire/messages.py
+++ b/src/heathermount/wire/messages.py
@@ -208,9 +208,14 @@
 
 
 class QuarantineNotice(msgspec.Struct, tag=12, array_like=True):
-    """Tell the group about a crash suspicion before the answer is given."""
+    """Tell the group about a crash suspicion, or that one was unfounded.
+
+    A suspicion is shared before the answer is given. When `cleared` is set, a
+    request with the fingerprint has completed.
+    """
 
     suspicion: Suspicion
+    cleared: bool = False
 
 
 class Received(msgspec.Struct, tag=13, array_like=True):
