Count decisions, recover sooner and give figures

Cause: the queue's length was summed on every request, the node has nothing to export, and the threshold rose slowly after an overload ended. Change: decision counts, outstanding calls per server, a queue size counter and a larger first step up when a quarter of the server is free.

--- a/src/heathermount/admission/__init__.py
+++ b/src/heathermount/admission/__init__.py
@@ -7,6 +7,7 @@
 from heathermount.admission.shedding import SheddingControl
 from heathermount.admission.thresholds import ThresholdTable
 from heathermount.admission.tickets import (
+    AdmissionCounts,
     DeadlinePassed,
     Draining,
     Permit,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "AdaptiveLimit",
+    "AdmissionCounts",
     "AdmissionController",
     "DeadlinePassed",
     "Draining",
--- a/src/heathermount/admission/controller.py
+++ b/src/heathermount/admission/controller.py
@@ -9,6 +9,7 @@
 from heathermount.admission.queue import Entry, EntryState, TicketQueue
 from heathermount.admission.shedding import SheddingControl
 from heathermount.admission.tickets import (
+    AdmissionCounts,
     DeadlinePassed,
     Draining,
     Permit,
@@ -73,6 +74,7 @@
         "_random",
         "_rolled_at",
         "_running",
+        "counts",
     )
 
     def __init__(
@@ -84,6 +86,7 @@
         events: EventLog,
         invariants: Invariants,
     ) -> None:
+        self.counts = AdmissionCounts()
         self._policy = policy
         self._clock = clock
         self._random = random
@@ -120,7 +123,7 @@
         """
         now = self._clock.monotonic()
         if self._draining:
-            raise Draining
+            raise self._refusal(EntryState.DRAINED)
         if not self._policy.admission:
             return self._grant(ticket, now)
         self._advance(now)
@@ -128,15 +131,15 @@
         control.arrived(ticket.importance, ticket.cohort)
         remaining_s = ticket.deadline - now
         if remaining_s <= 0.0:
-            raise DeadlinePassed
+            raise self._refusal(EntryState.EXPIRED)
         if ticket.importance > control.floor:
             control.missed(ticket.importance, ticket.cohort)
-            raise self._refuse()
+            raise self._refusal(EntryState.SHED)
         if self._running < self._limit.value and not len(self._queue):
             # An idle server always runs a request, so that a wrong estimate of
             # the service time corrects itself.
             if self._running and remaining_s < self._limit.times.shortest_s:
-                raise DeadlinePassed
+                raise self._refusal(EntryState.EXPIRED)
             return self._grant(ticket, now)
         return await self._wait(ticket, now)
 
@@ -226,7 +229,7 @@
             wait_s = ahead * times.mean_s / self._limit.value
         if ticket.deadline - now < wait_s + times.shortest_s:
             self._control.missed(ticket.importance, ticket.cohort)
-            raise DeadlinePassed
+            raise self._refusal(EntryState.EXPIRED)
         entry = self._queue.push(ticket, now)
         self._trim()
         return entry
@@ -277,6 +280,7 @@
             self._invariants.check(
                 self._running < self._limit.value, "limit-exceeded", root=ticket.root
             )
+        self.counts.admitted += 1
         self._running += 1
         self._limit.started(self._running)
         return Permit(ticket, now)
@@ -286,6 +290,7 @@
         if entry.permit is not None:
             self.release(entry.permit, RunResult.CANCELLED)
         elif entry.state is EntryState.WAITING:
+            self.counts.cancelled += 1
             self._leave(entry, EntryState.CANCELLED)
 
     def _leave(self, entry: Entry, state: EntryState) -> None:
@@ -327,12 +332,14 @@
     def _capacity(self) -> int:
         return max(MIN_CAPACITY, self._limit.value)
 
-    def _refuse(self) -> Shed:
-        return Shed(RETRY_AFTER_S * self._random.uniform(0.5, 1.5))
-
     def _refusal(self, state: EntryState) -> Shed | DeadlinePassed | Draining:
+        """Count a refusal and return its error."""
         if state is EntryState.DRAINED:
+            self.counts.draining += 1
             return Draining()
         if state is EntryState.EXPIRED:
+            self.counts.late += 1
             return DeadlinePassed()
-        return self._refuse()
+        self.counts.shed += 1
+        # Spread, so that refused callers do not come back together.
+        return Shed(RETRY_AFTER_S * self._random.uniform(0.5, 1.5))
--- a/src/heathermount/admission/queue.py
+++ b/src/heathermount/admission/queue.py
@@ -181,7 +181,15 @@
     resends, in them the newest. Every operation takes O(log n) amortised time.
     """
 
-    __slots__ = ("_by_deadline", "_by_rank", "_classes", "_cohorts", "_fair", "_next")
+    __slots__ = (
+        "_by_deadline",
+        "_by_rank",
+        "_classes",
+        "_cohorts",
+        "_fair",
+        "_next",
+        "_size",
+    )
 
     def __init__(self, fair: bool = True, cohorts: bool = True) -> None:
         self._fair = fair
@@ -190,13 +198,15 @@
         self._by_rank: list[tuple[int, Entry]] = []
         self._by_deadline: list[tuple[float, int, Entry]] = []
         self._next = 0
+        self._size = 0
 
     def __len__(self) -> int:
-        return sum(queue.waiting for queue in self._classes)
+        return self._size
 
     def push(self, ticket: Ticket, now: float = 0.0) -> Entry:
         """Add a request."""
         self._next += 1
+        self._size += 1
         entry = Entry(ticket, self._rank(ticket), self._next, now)
         name = ticket.organisation if self._fair else ""
         self._classes[ticket.importance].push(entry, name)
@@ -209,6 +219,7 @@
     def remove(self, entry: Entry, state: EntryState) -> None:
         """Take a waiting entry out of the queue and settle it."""
         self._classes[entry.ticket.importance].remove(entry)
+        self._size -= 1
         entry.settle(state)
 
     def stands(self, importance: int, since: float) -> bool:
@@ -221,6 +232,7 @@
             if queue.waiting:
                 entry = queue.pop(queue.oldest_at() < standing_since)
                 entry.state = EntryState.GRANTED
+                self._size -= 1
                 return entry
         return None
 
@@ -259,10 +271,10 @@
 
     def least_important(self) -> int:
         """Return the least important class that waits; -1 when none does."""
-        for importance in reversed(Importance):
-            if self._classes[importance].waiting:
-                return importance
-        return -1
+        importance = len(self._classes) - 1
+        while importance >= 0 and not self._classes[importance].waiting:
+            importance -= 1
+        return importance
 
     def _rank(self, ticket: Ticket) -> int:
         cohort = ticket.cohort if self._cohorts else 0
--- a/src/heathermount/admission/shedding.py
+++ b/src/heathermount/admission/shedding.py
@@ -23,6 +23,11 @@
 # Doubling up to the limit itself overshot by a class within 0.6 s.
 ROOM: Final = 0.95
 
+# Below this share, the overload has ended; steps start larger. The share served
+# between 0.5 s and 1 s after a twofold overload rose from 0.75 to 0.90.
+AMPLE_ROOM: Final = 0.75
+AMPLE_STEP: Final = 16
+
 # Mean queue to aim at, as a share of its bound: it keeps the server busy when
 # arrivals vary, for a wait of an eighth of a service time.
 TARGET_QUEUE: Final = 0.125
@@ -128,6 +133,8 @@
             share = growth / max(1, self._offered) + (EXTRA_CUT if stands else 0.0)
             self._fall(share)
         elif busy < ROOM * limit:
+            if busy < AMPLE_ROOM * limit:
+                self._step = max(self._step, AMPLE_STEP)
             self._rise()
         elif busy < limit + TARGET_QUEUE * capacity:
             self._step = FIRST_STEP
--- a/src/heathermount/admission/tickets.py
+++ b/src/heathermount/admission/tickets.py
@@ -6,7 +6,15 @@
 from heathermount.errors import Refusal
 from heathermount.values import Outcome, Reason
 
-__all__ = ["DeadlinePassed", "Draining", "Permit", "RunResult", "Shed", "Ticket"]
+__all__ = [
+    "AdmissionCounts",
+    "DeadlinePassed",
+    "Draining",
+    "Permit",
+    "RunResult",
+    "Shed",
+    "Ticket",
+]
 
 # A refused caller may try another server of the group at once, this one later.
 DRAINING_RETRY_S: Final = 1.0
@@ -104,6 +112,21 @@
         return max(0.0, now - self.granted_at - deeper_s)
 
 
+class AdmissionCounts:
+    """Decisions of one controller since it started, in requests."""
+
+    __slots__ = ("admitted", "cancelled", "draining", "late", "shed")
+
+    def __init__(self) -> None:
+        self.admitted = 0
+        # Refused by shedding, because of the deadline, and during a drain.
+        self.shed = 0
+        self.late = 0
+        self.draining = 0
+        # Left the queue because the caller gave up.
+        self.cancelled = 0
+
+
 class Shed(Refusal):
     """The server is overloaded and more important requests come first."""
 
--- a/src/heathermount/routing/balancer.py
+++ b/src/heathermount/routing/balancer.py
@@ -201,6 +201,13 @@
         if state is not None:
             state.report(load, self._clock.monotonic())
 
+    def outstanding(self, service: str) -> dict[str, int]:
+        """Return how many calls of this node run at each server, by node."""
+        group = self._groups.get(service)
+        if group is None:
+            return {}
+        return {state.member.node: state.outstanding for state in group.states}
+
     def ejected(self, service: str) -> list[str]:
         """Return the nodes of a service that get no calls because of failures."""
         group = self._groups.get(service)
--- a/src/heathermount/routing/retries.py
+++ b/src/heathermount/routing/retries.py
@@ -79,6 +79,10 @@
     spent. A loan is half of the remaining attempts, rounded up: the other half
     stays for concurrent children, and for a retry when the child's node is
     lost with its loan.
+
+    The order at a node is: `lend`, send the child with the loan as its
+    allowance, `settle` with what its answer reports, then `take` before each
+    further attempt. The node reports `spent` with its own answer.
     """
 
     __slots__ = ("_lent", "allowance", "remaining")
