--- a/src/heathermount/admission/shedding.py
+++ b/src/heathermount/admission/shedding.py
@@ -23,6 +23,11 @@
 # Doubling up to the limit itself overshot by a class within 0.6 s.
 ROOM: Final = 0.95
 
+# Below this share, the overload has ended; steps start larger. The share served
+# between 0.5 s and 1 s after a twofold overload rose from 0.75 to 0.90.
+AMPLE_ROOM: Final = 0.75
+AMPLE_STEP: Final = 16
+
 # Mean queue to aim at, as a share of its bound: it keeps the server busy when
 # arrivals vary, for a wait of an eighth of a service time.
 TARGET_QUEUE: Final = 0.125
@@ -48,8 +53,10 @@
     between (hysteresis). Sheds above the threshold do not count: entry nodes
     already reject those.
 
-    `floor` is the most important class shed in the current interval; classes
-    less important than that are not admitted before the interval ends.
+    `floor` is the most important class that was shed in the current interval,
+    or of which the threshold rejects a part: entry nodes then refuse requests
+    of this class. Less important classes are not admitted before the interval
+    ends.
     """
 
     __slots__ = (
@@ -126,6 +133,8 @@
             share = growth / max(1, self._offered) + (EXTRA_CUT if stands else 0.0)
             self._fall(share)
         elif busy < ROOM * limit:
+            if busy < AMPLE_ROOM * limit:
+                self._step = max(self._step, AMPLE_STEP)
             self._rise()
         elif busy < limit + TARGET_QUEUE * capacity:
             self._step = FIRST_STEP
@@ -137,6 +146,7 @@
         """Make up for intervals in which nothing happened."""
         for _ in range(min(intervals, POSITIONS // MAX_STEP)):
             self._rise()
+        self._set_floor()
 
     def _position(self, importance: int, cohort: int) -> int:
         if not self._cohorts:
@@ -144,7 +154,7 @@
         return importance * COHORTS + cohort
 
     def _start_interval(self, queued: int, now: float) -> None:
-        self.floor = NO_FLOOR
+        self._set_floor()
         self._excess = 0
         self._offered = 0
         self._queue_at_start = queued
@@ -153,6 +163,10 @@
         self._changed_at = now
         self._started_at = now
 
+    def _set_floor(self) -> None:
+        importance, cohort = divmod(self.position, COHORTS)
+        self.floor = importance if cohort < COHORTS - 1 else NO_FLOOR
+
     def _fall(self, share: float) -> None:
         self._step = FIRST_STEP
         position = self.position
