Merge forked documents by the time of each entry's last change

Cause: re-applying the missing changes of both sides let an older change overwrite a newer one that both sides had (found by the state machine). Change: documents carry the time and identifier of the last change to each path; a merge keeps the later one. Times are later than all times in the document that a change follows.

--- a/src/heathermount/config/documents.py
+++ b/src/heathermount/config/documents.py
@@ -25,6 +25,7 @@
     "encode_message",
     "encode_snapshot",
     "make_change_id",
+    "trim_document",
 ]
 
 HEAD_KEY: Final = "config/head"
@@ -61,7 +62,9 @@
     """The whole configuration at one revision; revision 0 is the empty document.
 
     `history` lists the revisions and identifiers of the last changes that the
-    document contains, the newest last.
+    document contains, the newest last. `made_at` is the latest time of a change
+    in seconds since the Unix epoch, and `stamps` has the time and identifier of
+    the last change to each path, those removed lately included.
     """
 
     revision: int = 0
@@ -69,6 +72,8 @@
     entries: dict[str, Any] = {}
     history: list[tuple[int, str]] = []
     author: str = ""
+    made_at: float = 0.0
+    stamps: dict[str, tuple[float, str]] = {}
 
     def apply(self, change: Change) -> "FleetDocument":
         """Return the document after a change that follows it."""
@@ -80,14 +85,25 @@
         entries = self.entries | change.sets
         for path in change.removes:
             entries.pop(path, None)
-        history = [*self.history, (change.revision, change.change_id)]
-        return FleetDocument(
+        stamp = (change.made_at, change.change_id)
+        document = FleetDocument(
             change.revision,
             change.change_id,
             entries,
-            history[-HISTORY_SIZE:],
+            [*self.history, (change.revision, change.change_id)],
             change.author,
+            max(self.made_at, change.made_at),
+            self.stamps | dict.fromkeys([*change.sets, *change.removes], stamp),
         )
+        return trim_document(document)
+
+    def next_time(self, now: float) -> float:
+        """Return the time of a change to this document: later than all in it.
+
+        The clocks of operators' machines may differ; a change that follows
+        another must not lose to it in a merge.
+        """
+        return max(now, self.made_at + 0.001)
 
     def is_followed_by(self, change: Change) -> bool:
         return (
@@ -109,6 +125,20 @@
         return revision < self.history[0][0]
 
 
+def trim_document(document: FleetDocument) -> FleetDocument:
+    """Bound the history and the stamps of removed paths."""
+    if len(document.history) <= HISTORY_SIZE:
+        return document
+    history = document.history[-HISTORY_SIZE:]
+    kept = {change_id for _, change_id in history}
+    stamps = {
+        path: stamp
+        for path, stamp in document.stamps.items()
+        if path in document.entries or stamp[1] in kept
+    }
+    return msgspec.structs.replace(document, history=history, stamps=stamps)
+
+
 class HeadRecord(msgspec.Struct, frozen=True, array_like=True):
     """What the store holds at config/head: small, as it is read every second."""
 
--- a/src/heathermount/config/operations.py
+++ b/src/heathermount/config/operations.py
@@ -93,7 +93,7 @@
             base.change_id,
             self._author,
             self._note,
-            self._clock.wall(),
+            base.next_time(self._clock.wall()),
             sets,
             removes,
         )
--- a/src/heathermount/config/tracker.py
+++ b/src/heathermount/config/tracker.py
@@ -14,7 +14,7 @@
     decode_document,
     encode_message,
 )
-from heathermount.config.merging import Branch, merge_branches
+from heathermount.config.merging import merge_documents
 from heathermount.config.policy import Policy
 from heathermount.config.records import read_document, read_head, write_document
 from heathermount.config.settings import Settings
@@ -128,10 +128,8 @@
         if not self.document.is_followed_by(change):
             self._keep_pending(change)
             return False
-        following: Change | None = change
-        while following is not None and self.document.is_followed_by(following):
-            self._adopt(self.document.apply(following), [*self._changes, following])
-            following = self._pending.pop(self.document.change_id, None)
+        self._follow(change)
+        self._follow_pending()
         return True
 
     def offer_document(
@@ -148,6 +146,7 @@
             own.revision, own.change_id
         ):
             self._adopt(document, changes)
+            self._follow_pending()
             return True
         if self._rival is None or document.revision >= self._rival.revision:
             self._note_rival(document)
@@ -212,23 +211,23 @@
         stored = await read_document(self._store)
         if stored.version == 0:
             return
-        branch = Branch(stored.document, stored.recent)
-        merged = merge_branches(Branch(self.document, list(self._changes)), branch)
+        merged = merge_documents(self.document, stored.document)
         if self._rival is not None:
-            merged = merge_branches(merged, Branch(self._rival, []))
-        if merged.document.change_id != stored.document.change_id:
-            written = await write_document(
-                self._store, merged.document, (), stored.version
-            )
+            merged = merge_documents(merged, self._rival)
+        changes = stored.recent
+        if merged.change_id != stored.document.change_id:
+            # The deltas of a merge lead to it from neither side.
+            changes = []
+            written = await write_document(self._store, merged, changes, stored.version)
             if not written:
                 return
             self._events.record(
                 "configuration-merged",
-                revision=merged.document.revision,
+                revision=merged.revision,
                 stored_revision=stored.document.revision,
             )
-        self.offer_document(merged.document, merged.changes)
-        if self.document.change_id == merged.document.change_id:
+        self.offer_document(merged, changes)
+        if self.document.change_id == merged.change_id:
             self.confirm(sent_at)
 
     async def _write_back(self, version: int) -> None:
@@ -290,6 +289,14 @@
         """Return the seconds since this node adopted its revision."""
         return self._clock.monotonic() - self._adopted_at
 
+    def _follow(self, change: Change) -> None:
+        self._adopt(self.document.apply(change), [*self._changes, change])
+
+    def _follow_pending(self) -> None:
+        while change := self._pending.pop(self.document.change_id, None):
+            if self.document.is_followed_by(change):
+                self._follow(change)
+
     def _keep_pending(self, change: Change) -> None:
         self._pending[change.parent_id] = change
         while len(self._pending) > PENDING_KEPT:
--- a/tests/builders_config.py
+++ b/tests/builders_config.py
@@ -12,7 +12,7 @@
 from builders import make_settings_table
 from heathermount.clocks import Clock, ManualClock
 from heathermount.config.declaration import Declaration
-from heathermount.config.documents import FleetDocument
+from heathermount.config.documents import Change, FleetDocument
 from heathermount.config.settings import Settings
 from heathermount.config.tracker import ConfigTracker
 from heathermount.events import EventLog
@@ -50,7 +50,8 @@
 def make_document(**sections: Any) -> FleetDocument:
     """Return a document of revision 1 with a small declaration."""
     entries = make_declaration(**sections).to_entries()
-    return FleetDocument(1, "first", entries, [(1, "first")], "test")
+    change = Change(1, "first", "", "test", "", 1.0, entries, [])
+    return FleetDocument().apply(change)
 
 
 def make_tracker(
