Test ownership under pauses, losses, crashes and handovers

A state machine drives simulated processes message by message: any answer can be late or lost, writes can land after their sender gave up, clocks drift, and each owner's decisions must be complete in the next owner's state.

--- /dev/null
+++ b/tests/builders_ownership.py
@@ -0,0 +1,292 @@
+"""A simulated fleet for ownership tests: every message can be late or lost."""
+
+import json
+from collections.abc import Callable, Coroutine, Generator
+from typing import Any, NamedTuple
+
+from heathermount.clocks import ManualClock
+from heathermount.errors import (
+    PeerRefused,
+    PeerTimeout,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from heathermount.events import EventLog
+from heathermount.invariants import Invariants
+from heathermount.ownership import NodeIdentity, OwnershipManager, Partition
+
+NAME = "claims/pantry/0"
+TERM_S = 120.0
+
+
+class Versioned(NamedTuple):
+    value: bytes
+    version: int
+
+
+class FakeStore:
+    """A linearizable store; versions count all writes."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, Versioned] = {}
+        self.writes = 0
+
+    def get(self, key: str) -> Versioned | None:
+        return self.values.get(key)
+
+    def commit(self, compares: dict[str, int], writes: dict[str, bytes | None]) -> bool:
+        for key, version in compares.items():
+            held = self.values.get(key)
+            if (held.version if held else 0) != version:
+                return False
+        self.writes += 1
+        for key, value in writes.items():
+            self.values.pop(key, None)
+            if value is not None:
+                self.values[key] = Versioned(value, self.writes)
+        return True
+
+
+class Operation:
+    """A call to another process: it is served once and answered or lost."""
+
+    def __init__(
+        self,
+        act: Callable[[], Any],
+        lost: type[Exception],
+        unsent: type[Exception],
+        writes: bool,
+    ) -> None:
+        self.act = act
+        self.lost = lost
+        self.unsent = unsent
+        self.writes = writes
+        self.served = False
+        self.result: Any = None
+
+    def __await__(self) -> Generator[Any, Any, Any]:
+        return (yield self)
+
+    def serve(self) -> None:
+        if not self.served:
+            self.served = True
+            try:
+                self.result = self.act()
+            except Exception as error:
+                self.result = error
+
+
+class RemoteStore:
+    """The store as one node calls it."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self.store = store
+
+    async def get(self, key: str) -> Versioned | None:
+        return await Operation(
+            lambda: self.store.get(key), StoreUnavailable, StoreUnavailable, False
+        )
+
+    async def commit(
+        self, compares: dict[str, int], writes: dict[str, bytes | None]
+    ) -> bool:
+        return await Operation(
+            lambda: self.store.commit(compares, writes),
+            StoreOutcomeUnknown,
+            StoreUnavailable,
+            True,
+        )
+
+
+class Task:
+    """A coroutine of one process, waiting for an operation."""
+
+    def __init__(self, process: "Process", coroutine: Coroutine[Any, Any, Any]) -> None:
+        self.process = process
+        self.coroutine = coroutine
+        self.operation: Operation | None = None
+
+
+class Process:
+    """One incarnation of a node; its partition's state is a list of decisions."""
+
+    def __init__(self, world: "World", node: str, incarnation: str) -> None:
+        self.world = world
+        self.alive = True
+        self.stopping = False
+        self.clock = world.clocks[node]
+        self.view: list[str] = list(world.clocks)
+        self.identity = NodeIdentity(node, incarnation, f"{node}:1", f"{node}:2")
+        self.events = EventLog(node, self.clock, quiet=True)
+        self.invariants = Invariants(self.events)
+        self.partition: Partition | None = None
+        # The decisions this process knows of are those from index `since` on.
+        self.since = 0
+        self.known: list[int] = []
+        self.manager = OwnershipManager(
+            TERM_S,
+            RemoteStore(world.store),
+            self.clock,
+            self.identity,
+            self,
+            self.events,
+            self.invariants,
+            self.sleep,
+        )
+
+    async def sleep(self, seconds: float) -> None:
+        await Operation(lambda: None, PeerTimeout, PeerTimeout, False)
+
+    def wanted(self) -> list[str]:
+        return [NAME]
+
+    def candidates(self, partition: str) -> list[str]:
+        return sorted({*self.view, self.identity.node})
+
+    def locate(self, node: str) -> NodeIdentity | None:
+        process = self.world.processes.get(node)
+        return process.manager.identity if process and process.alive else None
+
+    async def probe(self, address: str, incarnation: str) -> bool:
+        node = address.partition(":")[0]
+        result = await Operation(
+            lambda: self.world.has_ended(node, incarnation),
+            PeerTimeout,
+            PeerTimeout,
+            False,
+        )
+        return bool(result)
+
+    async def fetch(self, partition: str) -> None:
+        return None
+
+    def started(self, partition: Partition, state: bytes | None) -> None:
+        self.partition = partition
+        log = self.world.log
+        if state is not None:
+            self.since, self.known = json.loads(state)
+        else:
+            self.since, self.known = 0 if partition.fresh_start else len(log), []
+        assert self.known == log[self.since :], "a decision is missing in the state"
+
+    def stopped(self, name: str) -> None:
+        self.partition = None
+
+    def dump(self, name: str) -> bytes:
+        return json.dumps([self.since, self.known]).encode()
+
+    async def hand_over(
+        self, successor: NodeIdentity, name: str, epoch: int, state: bytes
+    ) -> bool:
+        def deliver() -> bool:
+            process = self.world.processes[successor.node]
+            if not process.alive:
+                raise PeerRefused("refused")
+            return process.manager.accept_handover(name, epoch, state)
+
+        return bool(await Operation(deliver, PeerTimeout, PeerRefused, True))
+
+    def owns(self) -> bool:
+        return self.alive and self.partition is not None and self.partition.owns()
+
+
+class World:
+    """All processes, the store and the messages between them."""
+
+    def __init__(self, nodes: int = 3) -> None:
+        names = [f"pantry-{i + 1}" for i in range(nodes)]
+        self.clocks = {name: ManualClock() for name in names}
+        # Clocks of the fleet drift apart by less than the margin of 1%.
+        self.rates = {name: 1 + 0.004 * (i - 1) for i, name in enumerate(names)}
+        self.store = FakeStore()
+        self.log: list[int] = []
+        self.tasks: list[Task] = []
+        # Writes whose sender no longer waits; they may still take effect.
+        self.late: list[Operation] = []
+        self.incarnations = 0
+        self.processes: dict[str, Process] = {}
+        for name in names:
+            self.boot(name)
+
+    def boot(self, node: str) -> Process:
+        self.incarnations += 1
+        process = Process(self, node, f"i{self.incarnations}")
+        self.processes[node] = process
+        return process
+
+    def has_ended(self, node: str, incarnation: str) -> bool:
+        process = self.processes[node]
+        return not process.alive or process.manager.identity.incarnation != incarnation
+
+    def pass_time(self, seconds: float) -> None:
+        for name, clock in self.clocks.items():
+            clock.advance(seconds * self.rates[name])
+
+    def spawn(self, process: Process, coroutine: Coroutine[Any, Any, Any]) -> Task:
+        task = Task(process, coroutine)
+        self.tasks.append(task)
+        self._step(task, None)
+        return task
+
+    def tick(self, process: Process) -> Task:
+        return self.spawn(process, process.manager.advance(NAME))
+
+    def _step(self, task: Task, result: Any) -> None:
+        try:
+            if isinstance(result, Exception):
+                task.operation = task.coroutine.throw(result)
+            else:
+                task.operation = task.coroutine.send(result)
+        except StopIteration:
+            self.tasks.remove(task)
+
+    def answer(self, task: Task) -> None:
+        """Serve what the task waits for and give it the result."""
+        operation = task.operation
+        assert operation is not None
+        operation.serve()
+        self._step(task, operation.result)
+
+    def fail(self, task: Task) -> None:
+        """Lose the answer; a write that was not served may be served later."""
+        operation = task.operation
+        assert operation is not None
+        if operation.writes and not operation.served:
+            self.late.append(operation)
+        self._step(task, operation.lost("lost"))
+
+    def refuse(self, task: Task) -> None:
+        """Fail without any effect, unless it has been served."""
+        operation = task.operation
+        assert operation is not None
+        error = operation.lost if operation.served else operation.unsent
+        self._step(task, error("refused"))
+
+    def run(self, task: Task) -> None:
+        while task in self.tasks:
+            self.answer(task)
+
+    def crash(self, process: Process) -> None:
+        process.alive = False
+        for task in [task for task in self.tasks if task.process is process]:
+            self.tasks.remove(task)
+            if task.operation and task.operation.writes and not task.operation.served:
+                self.late.append(task.operation)
+            task.coroutine.close()
+
+    def decide(self, process: Process) -> None:
+        """Decide something if the process may, as a claim table would."""
+        if process.owns():
+            self.log.append(len(self.log))
+            process.known.append(self.log[-1])
+
+    def owners(self) -> list[str]:
+        return [name for name, process in self.processes.items() if process.owns()]
+
+    def settle(self, seconds: float = 2.0, step_s: float = 0.5) -> None:
+        """Let all live processes act without faults for a while."""
+        for _ in range(int(seconds / step_s)):
+            for process in list(self.processes.values()):
+                if process.alive:
+                    self.run(self.tick(process))
+            self.pass_time(step_s)
