--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -13,7 +13,12 @@
 )
 from heathermount.events import EventLog
 from heathermount.invariants import Invariants
-from heathermount.ownership import NodeIdentity, OwnershipManager, Partition
+from heathermount.ownership import (
+    NodeIdentity,
+    OwnerRecord,
+    OwnershipManager,
+    Partition,
+)
 
 NAME = "claims/pantry/0"
 TERM_S = 120.0
@@ -290,3 +295,28 @@
                 if process.alive:
                     self.run(self.tick(process))
             self.pass_time(step_s)
+
+
+def make_partition(
+    name: str, clock: ManualClock, fresh_start: bool = True, term_s: float = 1e9
+) -> Partition:
+    """Return a partition that is owned for `term_s` seconds."""
+    record = OwnerRecord(name, "pantry-1", "i1", "pantry-1:1", "pantry-1:2", 1, term_s)
+    return Partition(record, clock, clock.monotonic() + term_s, fresh_start)
+
+
+class FixedOwners:
+    """A directory in which pantry-1 owns all partitions but the missing ones."""
+
+    def __init__(self) -> None:
+        self.missing: set[str] = set()
+        self.refreshed = 0
+
+    def find_owner(self, partition: str) -> OwnerRecord | None:
+        if partition in self.missing:
+            return None
+        return OwnerRecord(partition, "pantry-1", "i1", "1", "2", 1, 120.0)
+
+    async def refresh(self, partition: str) -> OwnerRecord | None:
+        self.refreshed += 1
+        return self.find_owner(partition)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,425 @@
+"""A request with an idempotency key runs at most once."""
+
+from collections.abc import Awaitable, Callable
+from uuid import UUID
+
+import anyio
+import pytest
+from anyio.abc import TaskGroup
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from builders_ownership import FixedOwners, make_partition
+from heathermount.claims import (
+    BodyBudget,
+    ClaimClient,
+    ClaimTable,
+    issued_at_of,
+    make_claim_key,
+)
+from heathermount.clocks import Clock, ManualClock, SystemClock
+from heathermount.errors import (
+    HeathermountError,
+    PeerRejected,
+    PeerTimeout,
+    PeerUnreachable,
+    Refusal,
+)
+from heathermount.events import EventLog
+from heathermount.invariants import Invariants
+from heathermount.ownership import OwnerRecord, Partition
+from heathermount.values import Outcome, Reason
+from heathermount.wire.messages import Claim, ClaimReply, Message, Settle, UnclaimKey
+
+NAME = "claims/pantry/0"
+RETENTION_S = 600.0
+
+
+def make_uuid7(issued_at: float, number: int) -> str:
+    value = (int(issued_at * 1000) << 80) | (7 << 76) | (2 << 62) | number
+    return str(UUID(int=value))
+
+
+def make_table(
+    clock: Clock,
+    partition: Partition,
+    is_dead: Callable[[str], bool] = lambda caller: False,
+    bodies: BodyBudget | None = None,
+) -> ClaimTable:
+    invariants = Invariants(EventLog("pantry-1", clock, quiet=True))
+    budget = bodies or BodyBudget()
+    return ClaimTable(
+        partition, clock, invariants, budget, is_dead, lambda: RETENTION_S
+    )
+
+
+def make_claim(key: bytes, call: int, issued_at: float = 0.0) -> Claim:
+    return Claim(NAME, key, f"n{call}/i", bytes([call]), issued_at, b"digest")
+
+
+def make_settle(claim: Claim, body: bytes = b"done") -> Settle:
+    return Settle(
+        NAME, claim.key, claim.caller, claim.call_id, "ran", 201, [], body, True
+    )
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Repeated and late claims, crashes of owners and entry nodes, handovers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.dead: set[str] = set()
+        self.table = self.make_table(fresh_start=True)
+        self.keys: list[tuple[bytes, float]] = []
+        self.calls = 0
+        # Calls that were granted and may still run, and messages on their way.
+        self.granted: list[Claim] = []
+        self.messages: list[Claim | Settle | UnclaimKey] = []
+        self.released: set[bytes] = set()
+        self.runs: dict[bytes, int] = {}
+
+    def make_table(self, fresh_start: bool) -> ClaimTable:
+        partition = make_partition(NAME, self.clock, fresh_start)
+        return make_table(self.clock, partition, self.dead.__contains__)
+
+    @rule(age_s=st.sampled_from([None, -30.0, -1.9, 0.0, 1.0, 500.0]))
+    def issue_key(self, age_s: float | None) -> None:
+        number = len(self.keys).to_bytes(2)
+        issued_at = 0.0 if age_s is None else self.clock.wall() - age_s
+        self.keys.append((number, issued_at))
+
+    @precondition(lambda self: self.keys)
+    @rule(data=st.data(), late=st.booleans())
+    def claim(self, data: st.DataObject, late: bool) -> None:
+        key, issued_at = data.draw(st.sampled_from(self.keys))
+        self.calls += 1
+        caller, call_id = f"n{self.calls % 3}/i", self.calls.to_bytes(2)
+        message = Claim(NAME, key, caller, call_id, issued_at, b"digest")
+        if late:
+            self.messages.append(message)
+        else:
+            self.deliver(message)
+
+    def deliver(self, message: Claim | Settle | UnclaimKey) -> None:
+        reply = self.table.handle(message)
+        granted = isinstance(message, Claim) and reply.state == "granted"
+        if not granted or message.caller in self.dead:
+            return
+        if message.call_id not in self.released and message not in self.granted:
+            self.granted.append(message)
+
+    @precondition(lambda self: self.messages)
+    @rule(data=st.data(), keep=st.booleans())
+    def deliver_late(self, data: st.DataObject, keep: bool) -> None:
+        message = data.draw(st.sampled_from(self.messages))
+        if not keep:
+            self.messages.remove(message)
+        self.deliver(message)
+
+    @precondition(lambda self: self.granted)
+    @rule(data=st.data(), end=st.sampled_from(["settle", "release", "lose"]))
+    def run_call(self, data: st.DataObject, end: str) -> None:
+        claim = data.draw(st.sampled_from(self.granted))
+        self.granted.remove(claim)
+        self.released.add(claim.call_id)
+        if end == "release":
+            message: UnclaimKey | Settle
+            message = UnclaimKey(NAME, claim.key, claim.caller, claim.call_id)
+        else:
+            self.runs[claim.key] = self.runs.get(claim.key, 0) + 1
+            message = make_settle(claim)
+        if end != "lose":
+            self.messages.append(message)
+        self.messages.append(claim)
+
+    @precondition(lambda self: self.granted)
+    @rule()
+    def give_up(self) -> None:
+        """An entry node withdraws a claim whose granted reply it never received."""
+        claim = self.granted.pop()
+        self.released.add(claim.call_id)
+        self.deliver(UnclaimKey(NAME, claim.key, claim.caller, claim.call_id))
+        self.messages.append(claim)
+
+    @rule(node=st.integers(0, 2))
+    def end_entry_node(self, node: int) -> None:
+        self.dead.add(f"n{node}/i")
+        self.granted = [c for c in self.granted if c.caller not in self.dead]
+
+    @rule()
+    def take_over(self) -> None:
+        self.table = self.make_table(fresh_start=False)
+
+    @rule()
+    def hand_over(self) -> None:
+        state = self.table.dump()
+        self.table = self.make_table(fresh_start=True)
+        self.table.load(state)
+
+    @rule(seconds=st.sampled_from([0.5, 5.0, 29.0]))
+    def pass_time(self, seconds: float) -> None:
+        # The machine stays within the retention, after which a key is new.
+        if self.clock.wall() + seconds < 1_700_000_000.0 + RETENTION_S - 10.0:
+            self.clock.advance(seconds)
+
+    @invariant()
+    def at_most_once(self) -> None:
+        assert all(count <= 1 for count in self.runs.values()), self.runs
+        invariants = self.table._invariants
+        assert invariants.violations == {}
+
+
+def test_key_never_runs_twice() -> None:
+    """Guards against a second run of a request after crashes and late messages."""
+    run_state_machine_as_test(
+        ClaimMachine, settings=settings(max_examples=400, stateful_step_count=30)
+    )
+
+
+@pytest.mark.parametrize(
+    ("age_at_takeover_s", "after_s", "state"),
+    [
+        (None, 1.0, "unknown"),
+        (None, 605.0, "granted"),
+        (1.0, 1.0, "unknown"),
+        (-3.9, 10.0, "unknown"),
+        (-5.0, 10.0, "granted"),
+        (1.0, 700.0, "unknown"),
+        (-300.0, 1.0, "unknown"),
+    ],
+)
+def test_rules_after_a_takeover(
+    age_at_takeover_s: float | None, after_s: float, state: str
+) -> None:
+    """Guards against running a key that an earlier owner may have granted."""
+    clock = ManualClock()
+    issued_at = 0.0 if age_at_takeover_s is None else clock.wall() - age_at_takeover_s
+    table = make_table(clock, make_partition(NAME, clock, fresh_start=False))
+    clock.advance(after_s)
+    assert table.handle(make_claim(b"k", 1, issued_at)).state == state
+
+
+def test_claim_states() -> None:
+    """Guards against wrong decisions in the life of one key."""
+    clock = ManualClock()
+    dead: set[str] = set()
+    partition = make_partition(NAME, clock, term_s=120.0)
+    table = make_table(clock, partition, dead.__contains__)
+    claim, other = make_claim(b"k", 1), make_claim(b"k", 2)
+    assert table.handle(claim).state == "granted"
+    assert table.handle(claim).state == "granted"
+    assert table.handle(other).state == "running"
+    other.request_digest = b"another request"
+    assert table.handle(other).state == "mismatch"
+    other.request_digest = claim.request_digest
+    dead.add(claim.caller)
+    assert table.handle(other).state == "unknown"
+    assert table.handle(make_settle(claim)).known
+    reply = table.handle(other)
+    assert (reply.state, reply.status, reply.body) == ("settled", 201, b"done")
+    clock.advance(120.0)
+    assert table.handle(other).state == "moved"
+    with pytest.raises(HeathermountError):
+        table.handle(make_settle(claim))
+
+
+def test_oldest_responses_are_dropped_first() -> None:
+    """Guards against memory that grows with the responses held."""
+    clock = ManualClock()
+    bodies = BodyBudget(limit_bytes=100)
+    table = make_table(clock, make_partition(NAME, clock), bodies=bodies)
+    claims = [make_claim(bytes([i]), i) for i in range(3)]
+    for claim in claims:
+        table.handle(claim)
+        table.handle(make_settle(claim, body=b"x" * 40))
+    held = [table.handle(claim).answer_held for claim in claims]
+    assert held == [False, True, True]
+    assert bodies.used_bytes == 80
+    clock.advance(RETENTION_S + 5.0)
+    table.handle(make_claim(b"new", 9))
+    assert bodies.used_bytes == 0
+    assert len(table) == 1
+
+
+def test_key_forms() -> None:
+    """Guards against keys that collide or tell a wrong time."""
+    assert issued_at_of(make_uuid7(1_700_000_000.25, 5)) == 1_700_000_000.25
+    assert issued_at_of("6f1c2b60-7c5d-4b8e-9a39-1a2b3c4d5e6f") == 0
+    assert issued_at_of("order 17") == 0
+    keys = {
+        make_claim_key("ab", "c", "d"),
+        make_claim_key("a", "bc", "d"),
+        make_claim_key("a", "b", "cd"),
+    }
+    assert len(keys) == 3
+
+
+class OwnerStandIn:
+    """One owner behind a network that tests control."""
+
+    def __init__(self) -> None:
+        self.clock = SystemClock()
+        self.events = EventLog("pantry-1", self.clock, quiet=True)
+        partition_clock = ManualClock()
+        self.partition = make_partition(NAME, partition_clock)
+        self.table = make_table(self.clock, self.partition)
+        self.owners = FixedOwners()
+        self.received: list[Message] = []
+        self.received_three = anyio.Event()
+        # Errors of the next calls; a served call loses only its answer.
+        self.faults: list[tuple[HeathermountError, bool]] = []
+
+    async def ask(
+        self, record: OwnerRecord, message: Message, timeout_s: float
+    ) -> Message:
+        self.received.append(message)
+        if len(self.received) == 3:
+            self.received_three.set()
+        error, served = self.faults.pop(0) if self.faults else (None, True)
+        reply: Message = self.table.handle(message) if served else ClaimReply("moved")
+        if error is not None:
+            raise error
+        return reply
+
+    def make_client(self, tasks: TaskGroup, caller: str = "n1/i1") -> ClaimClient:
+        return ClaimClient.from_config(
+            self.owners,
+            self.ask,
+            lambda: caller,
+            lambda: RETENTION_S,
+            self.clock,
+            self.events,
+            tasks,
+        )
+
+
+def run_clients(
+    scenario: Callable[[OwnerStandIn, ClaimClient, ClaimClient], Awaitable[None]],
+) -> None:
+    async def run() -> None:
+        owner = OwnerStandIn()
+        async with anyio.create_task_group() as tasks:
+            first = owner.make_client(tasks)
+            second = owner.make_client(tasks, "n2/i1")
+            with anyio.fail_after(10.0):
+                await scenario(owner, first, second)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def claim(client: ClaimClient, call_id: bytes, wait_s: float = 1.0) -> ClaimReply:
+    deadline = SystemClock().monotonic() + wait_s
+    return await client.claim("pantry", "cart-1", "order", call_id, b"digest", deadline)
+
+
+def test_client_survives_lost_replies() -> None:
+    """Guards against a request that is refused because one reply was lost."""
+
+    async def scenario(
+        owner: OwnerStandIn, first: ClaimClient, second: ClaimClient
+    ) -> None:
+        owner.faults = [(PeerTimeout("lost"), True), (PeerUnreachable("no"), False)]
+        assert (await claim(first, b"1")).state == "granted"
+        owner.faults = [
+            (PeerTimeout("lost"), True),
+            (PeerRejected("NotOwner", ""), False),
+        ]
+        await first.settle(b"1", Outcome.RAN, 201, [], b"done")
+        assert await first.flush(5.0)
+        reply = await claim(second, b"2")
+        assert (reply.state, reply.body) == ("settled", b"done")
+
+    run_clients(scenario)
+
+
+def test_client_waits_for_a_running_call() -> None:
+    """Guards against a resend that is refused while the first call runs."""
+
+    async def scenario(
+        owner: OwnerStandIn, first: ClaimClient, second: ClaimClient
+    ) -> None:
+        await claim(first, b"1")
+        replies: list[ClaimReply] = []
+
+        async def resend() -> None:
+            replies.append(await claim(second, b"2", wait_s=5.0))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(resend)
+            # The first call's claim and two of the second's.
+            await owner.received_three.wait()
+            await first.settle(b"1", Outcome.RAN, 201, [], b"done")
+        assert [reply.state for reply in replies] == ["settled"]
+        await first.settle(b"1", Outcome.RAN, 500, [], b"again")
+        assert (await claim(second, b"3")).status == 201
+
+    run_clients(scenario)
+
+
+@pytest.mark.parametrize(
+    ("held", "reason"),
+    [(True, Reason.OUTCOME_UNKNOWN), (False, Reason.CLAIMS_UNREACHABLE)],
+)
+def test_refusals_are_truthful(held: bool, reason: Reason) -> None:
+    """Guards against `not-run` for a key that another call holds."""
+
+    async def scenario(
+        owner: OwnerStandIn, first: ClaimClient, second: ClaimClient
+    ) -> None:
+        if held:
+            await claim(first, b"1")
+        else:
+            owner.faults = [(PeerTimeout("lost"), True)] * 100
+        with pytest.raises(Refusal) as caught:
+            await claim(second, b"2", wait_s=0.2)
+        assert caught.value.reason == reason
+        unknown = caught.value.outcome == Outcome.UNKNOWN
+        assert unknown == held
+        if not held:
+            # The claim that the owner recorded is withdrawn.
+            owner.faults.clear()
+            assert await second.flush(5.0)
+            assert (await claim(first, b"3")).state == "granted"
+
+    run_clients(scenario)
+
+
+def test_late_grant_is_discarded() -> None:
+    """Guards against acting on a grant of an owner that has lost its partition."""
+
+    async def scenario(
+        owner: OwnerStandIn, first: ClaimClient, second: ClaimClient
+    ) -> None:
+        clock = ManualClock()
+
+        async def ask(
+            record: OwnerRecord, message: Message, timeout_s: float
+        ) -> Message:
+            if not owner.received:
+                clock.advance(1.1)
+            return await owner.ask(record, message, timeout_s)
+
+        async with anyio.create_task_group() as tasks:
+            client = ClaimClient(
+                owner.owners,
+                ask,
+                lambda: "n1/i1",
+                lambda: RETENTION_S,
+                clock,
+                owner.events,
+                tasks,
+            )
+            deadline = clock.monotonic() + 5.0
+            reply = await client.claim("pantry", "cart-1", "k", b"1", b"d", deadline)
+        assert reply.state == "granted"
+        assert len(owner.received) == 2
+
+    run_clients(scenario)
