--- a/src/heathermount/membership/directory.py
+++ b/src/heathermount/membership/directory.py
@@ -15,6 +15,7 @@
 REFRESH_S: Final = 10.0
 # Failures ask for a refresh; the store sees at most one read for each interval.
 MIN_REFRESH_S: Final = 0.5
+MAX_HELPERS: Final = 3
 
 FetchRoster = Callable[[str, str], Awaitable[RosterRecord | None]]
 
@@ -45,7 +46,7 @@
         self._random = rng
         # Asks the node at a control address for a service's roster.
         self._fetch = fetch
-        # Control addresses of own group members, asked for unknown services.
+        # Control addresses to ask for the rosters of unknown services.
         self._helpers = helpers
         self._records: dict[str, RosterRecord] = {}
         self._read_at: dict[str, float] = {}
@@ -93,7 +94,7 @@
         if addresses:
             addresses = [self._random.choice(addresses)]
         else:
-            addresses = self._helpers()[:1]
+            addresses = self._helpers()[:MAX_HELPERS]
         for address in addresses:
             try:
                 record = await self._fetch(address, service)
--- a/src/heathermount/membership/roster.py
+++ b/src/heathermount/membership/roster.py
@@ -15,6 +15,8 @@
 # Nodes of a group that start together race for the record; each retries after
 # a random part of this time, in seconds.
 RETRY_S: Final = 0.2
+# The nodes that wait for a store that is down return to it within this time.
+MAX_RETRY_S: Final = 3.0
 
 
 class Roster:
@@ -46,13 +48,16 @@
 
     async def join(self, member: MemberRecord) -> None:
         """Write the member into the roster; wait while the store is down."""
+        pause_s = RETRY_S
         while True:
             try:
                 if await self._try_join(member):
                     return
             except (StoreUnavailable, StoreOutcomeUnknown) as error:
-                self._events.record("roster-join-delayed", error=str(error))
-            await anyio.sleep(RETRY_S * (1 + self._random.random()))
+                if pause_s == RETRY_S:
+                    self._events.record("roster-join-delayed", error=str(error))
+                pause_s = min(MAX_RETRY_S, pause_s * 2)
+            await anyio.sleep(pause_s * (1 + self._random.random()))
 
     async def _try_join(self, member: MemberRecord) -> bool:
         version, record = await self._read()
--- a/src/heathermount/node/assembly.py
+++ b/src/heathermount/node/assembly.py
@@ -46,7 +46,7 @@
         parts, beats.share_suspicion, beats.run_at, lambda: group.roster.record
     )
     beats.group, beats.executor = group, executor
-    ownership = build_ownership(parts, group, directory)
+    ownership = build_ownership(parts, group, directory, updates)
     owners = Owners(parts, links, ownership)
     claims = build_claims(parts, tasks, ownership, owners)
     entry = build_entry(
@@ -135,7 +135,7 @@
 
 
 def build_ownership(
-    parts: Parts, group: Group, directory: Directory
+    parts: Parts, group: Group, directory: Directory, updates: Updates
 ) -> OwnershipManager:
     settings = parts.settings
     identity = NodeIdentity(
@@ -149,7 +149,7 @@
         parts.store,
         parts.clock,
         identity,
-        NodeHost(parts, group, directory),
+        NodeHost(parts, group, directory, updates.reader_addresses),
         parts.events,
         parts.invariants,
     )
--- a/src/heathermount/node/calls.py
+++ b/src/heathermount/node/calls.py
@@ -90,7 +90,9 @@
         self.note = note
         self.resend = resend
 
-    def to_message(self, now: float, allowance: int, revision: int) -> Execute:
+    def to_message(
+        self, now: float, wall: float, allowance: int, revision: int
+    ) -> Execute:
         """Return the message for one attempt."""
         return Execute(
             call_id=secrets.token_bytes(16),
@@ -107,6 +109,7 @@
             cohort=self.cohort,
             weight=self.weight,
             deadline_s=self.deadline - now,
+            sent_at=wall,
             allowance=allowance,
             depth=self.depth,
             fingerprint=self.fingerprint,
--- a/src/heathermount/node/control.py
+++ b/src/heathermount/node/control.py
@@ -91,7 +91,9 @@
     async def fetch_configuration(
         self, request: ConfigurationRequest
     ) -> ConfigurationReply:
-        return self._tracker.changes_since(request.since_revision)
+        reply = self._tracker.changes_since(request.since_revision)
+        reply.failure_domain = self._settings.node.failure_domain
+        return reply
 
     async def push(self, request: PushRequest) -> PushReply:
         change = decode_change(request.change)
--- a/src/heathermount/node/dispatcher.py
+++ b/src/heathermount/node/dispatcher.py
@@ -108,7 +108,10 @@
         attempts.tried.add(member.node)
         allowance = call.ledger.lend()
         message = call.to_message(
-            self._clock.monotonic(), allowance, self._tracker.revision
+            self._clock.monotonic(),
+            self._clock.wall(),
+            allowance,
+            self._tracker.revision,
         )
         self._balancer.started(member)
         answer: Answer | None = None
@@ -116,12 +119,8 @@
             answer = await self._send(member, message)
         finally:
             call.ledger.settle(allowance, answer.spent if answer is not None else None)
-            failed = answer is not None and answer.reason in FAILED_REASONS
-            left = answer is not None and answer.reason in FREE_REASONS
             self._balancer.finished(
-                member,
-                answer is not None and not failed and not left,
-                answer.load if answer is not None else None,
+                member, judge(answer), answer.load if answer is not None else None
             )
         self._seen(call.service, member, answer)
         call.note(answer.thresholds)
@@ -196,6 +195,13 @@
         return refusal
 
 
+def judge(answer: Answer | None) -> bool | None:
+    """Tell whether the server did its part; None when the caller gave up."""
+    if answer is None:
+        return None
+    return answer.reason not in FAILED_REASONS and answer.reason not in FREE_REASONS
+
+
 def refused(reason: Reason, outcome: Outcome, spent: int) -> Answer:
     """Return the answer that stands for a failure between two nodes."""
     return Answer(
--- a/src/heathermount/node/executor.py
+++ b/src/heathermount/node/executor.py
@@ -2,6 +2,7 @@
 
 import secrets
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 import anyio
 
@@ -33,7 +34,9 @@
 
 # A backend server marks its own refusals with this header; with status 503
 # they prove that the request did not run.
-NOT_RUN_HEADER = b"heathermount-not-run"
+NOT_RUN_HEADER: Final = b"heathermount-not-run"
+# Allowed difference between the clocks of two instances, in seconds.
+MAX_SKEW_S: Final = 2.0
 
 
 class Announcement:
@@ -122,6 +125,11 @@
     def load(self) -> Load:
         return self.admission.load() if self.admission is not None else Load()
 
+    def refresh_threshold(self) -> None:
+        """Let the threshold rise while no request asks for it."""
+        if self.admission is not None:
+            self.admission.threshold()
+
     def announce(self, announcement: Announcement) -> bool:
         """Take the backend server into service; tell whether it was new."""
         if announcement == self.announcement:
@@ -203,6 +211,7 @@
 
     async def _admit_and_run(self, message: Execute, context: CallContext) -> Answer:
         self._check_key(message)
+        self._check_age(message)
         if self.draining:
             raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
         if self._server is None or self.admission is None or not self.serving:
@@ -274,6 +283,17 @@
             return
         raise make_refusal(Reason.KEY_WITHDRAWN, Outcome.NOT_RUN)
 
+    def _check_age(self, message: Execute) -> None:
+        """Refuse a request that waited in a paused process or in the network.
+
+        Its claim may be forgotten by now, and its key may have been claimed
+        by a later request.
+        """
+        if message.repeatable:
+            return
+        if self._clock.wall() - message.sent_at > message.deadline_s + MAX_SKEW_S:
+            raise make_refusal(Reason.DEADLINE, Outcome.NOT_RUN)
+
     async def _run(
         self,
         message: Execute,
--- a/src/heathermount/node/heartbeats.py
+++ b/src/heathermount/node/heartbeats.py
@@ -40,6 +40,7 @@
 
     def make_heartbeat(self) -> Heartbeat:
         parts, executor = self._parts, self.executor
+        executor.refresh_threshold()
         return Heartbeat(
             service=parts.settings.node.service,
             node=parts.identity.node,
@@ -48,6 +49,7 @@
             draining=executor.draining,
             serving=executor.serving,
             revision=parts.tracker.revision,
+            change_id=parts.tracker.document.change_id,
             roster_revision=self.group.roster.record.revision,
             suspicions=parts.quarantine.recent(),
             stamp=parts.events.stamp(),
@@ -62,6 +64,7 @@
             draining=executor.draining,
             serving=executor.serving,
             revision=parts.tracker.revision,
+            change_id=parts.tracker.document.change_id,
             roster_revision=self.group.roster.record.revision,
             confirmed_age_s=parts.tracker.confirmed_age_s(),
             domain_ages_s=parts.tracker.domain_ages_s(),
--- a/src/heathermount/node/hosting.py
+++ b/src/heathermount/node/hosting.py
@@ -1,6 +1,6 @@
 """What the ownership manager needs of this node: candidates, proofs and state."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 from heathermount.claims import ClaimTable
@@ -17,6 +17,7 @@
 
 # At a fleet's start the nodes of a failure domain may come up later than others.
 OTHER_DOMAINS_AFTER_S: Final = 10.0
+MAX_HELPERS: Final = 3
 
 
 class NodeHost:
@@ -27,6 +28,7 @@
         "_clock",
         "_directory",
         "_group",
+        "_helpers",
         "_identity",
         "_invariants",
         "_owned",
@@ -35,7 +37,13 @@
         "_without_local",
     )
 
-    def __init__(self, parts: Parts, group: Group, directory: Directory) -> None:
+    def __init__(
+        self,
+        parts: Parts,
+        group: Group,
+        directory: Directory,
+        helpers: Callable[[], list[str]],
+    ) -> None:
         self._settings = parts.settings
         self._identity = parts.identity
         self._tracker = parts.tracker
@@ -45,6 +53,8 @@
         self._invariants = parts.invariants
         self._group = group
         self._directory = directory
+        # Control addresses of nodes to ask before the store.
+        self._helpers = helpers
         # Monotonic time since which a partition has no candidate in its domain.
         self._without_local: dict[str, float] = {}
 
@@ -108,17 +118,17 @@
         return link.peer.incarnation != incarnation
 
     async def fetch(self, partition: str) -> OwnerRecord | None:
-        """Ask the reader of the group; None when this node is the reader."""
-        member = self._group.roster.record.find(self._group.reader())
-        if member is None or member.node == self._settings.node.name:
-            return None
-        try:
-            reply = await self._clients.call(
-                member.control, OwnerRequest(partition), OwnerReply
-            )
-            return decode_record(reply.record) if reply.record else None
-        except (PeerError, InvalidMessage):
-            return None
+        """Ask the nodes that know before the store; None to ask the store."""
+        for address in self._helpers()[:MAX_HELPERS]:
+            try:
+                reply = await self._clients.call(
+                    address, OwnerRequest(partition), OwnerReply
+                )
+                if reply.record:
+                    return decode_record(reply.record)
+            except (PeerError, InvalidMessage):
+                continue
+        return None
 
     def started(self, partition: Partition, state: bytes | None) -> None:
         """Create the state of a partition that this node now owns."""
--- a/src/heathermount/node/updates.py
+++ b/src/heathermount/node/updates.py
@@ -74,10 +74,11 @@
         period_s = self._settings.timings.config_poll_s
         while True:
             age_s = self._tracker.confirmed_age_s()
-            if self._group.is_reader() or age_s > UNCONFIRMED_POLLS * period_s:
+            in_doubt = age_s > UNCONFIRMED_POLLS * period_s or self._tracker.forked
+            if self._group.is_reader() or in_doubt:
                 await self.read_store()
-            if not self._tracker.revision:
-                await self._ask_seeds()
+            if not self._tracker.fresh():
+                await self._ask_other_domains()
             await anyio.sleep(period_s)
 
     async def read_store(self) -> None:
@@ -95,11 +96,28 @@
     def store_down(self) -> bool:
         return self._store_down
 
-    async def _ask_seeds(self) -> None:
-        for address in self._settings.peers.seeds:
-            await self._fetch(address)
-            if self._tracker.revision:
+    async def _ask_other_domains(self) -> None:
+        """Ask nodes of other services, and the seeds, while the store is silent.
+
+        The group's heartbeats do not reach enough failure domains if the group
+        is small, and a node that starts knows nobody else.
+        """
+        addresses = [*self._settings.peers.seeds, *self._known_addresses()]
+        for address in dict.fromkeys(addresses):
+            if self._tracker.fresh():
                 return
+            await self._fetch(address)
+
+    def _known_addresses(self) -> list[str]:
+        """Return the control address of one known node in each failure domain."""
+        own = self._settings.node.name
+        found: dict[str, str] = {}
+        for service in self._directory.services():
+            record = self._directory.get(service)
+            for member in record.members if record is not None else ():
+                if member.node != own:
+                    found[member.failure_domain] = member.control
+        return list(found.values())
 
     async def heard(
         self, member: MemberRecord, reply: HeartbeatReply, sent_at: float
@@ -108,9 +126,9 @@
         self._tracker.contact(member.failure_domain, sent_at)
         for domain, age_s in reply.domain_ages_s.items():
             self._tracker.contact(domain, sent_at - age_s)
-        if reply.revision == self._tracker.revision:
+        if self._is_current(reply.revision, reply.change_id):
             self._tracker.confirm(sent_at - reply.confirmed_age_s)
-        elif reply.revision > self._tracker.revision:
+        elif reply.revision >= self._tracker.revision:
             self._start_fetch(member.control)
         if reply.roster_revision > self._group.roster.record.revision:
             await self._fetch_own_roster(member.control)
@@ -118,13 +136,24 @@
     def heartbeat_received(self, heartbeat: Heartbeat) -> None:
         """Take what a peer's heartbeat tells."""
         member = self._group.roster.record.find(heartbeat.node)
-        if member is not None and heartbeat.revision > self._tracker.revision:
+        ahead = heartbeat.revision >= self._tracker.revision
+        current = self._is_current(heartbeat.revision, heartbeat.change_id)
+        if member is not None and ahead and not current:
             self._start_fetch(member.control)
         newer = heartbeat.roster_revision > self._group.roster.record.revision
         if newer and not self._reading_roster:
             self._reading_roster = True
             self._tasks.start_soon(self.read_own_roster)
 
+    def _is_current(self, revision: int, change_id: str) -> bool:
+        """Compare with a peer's configuration.
+
+        Equal revisions of different changes come from a store that came back
+        with older data and took another change; the tracker merges them.
+        """
+        document = self._tracker.document
+        return (revision, change_id) == (document.revision, document.change_id)
+
     def answer_seen(self, service: str, member: Member, answer: Answer) -> None:
         """Take what an answer tells about revisions."""
         self._routes.notice(service, answer.roster_revision)
@@ -142,7 +171,10 @@
     async def _fetch(self, address: str) -> None:
         """Fetch the changes after the own revision from a peer."""
         try:
-            if not await self._fetch_since(address, self._tracker.revision):
+            revision = self._tracker.revision
+            if not await self._fetch_since(address, revision) or (
+                revision and self._tracker.revision == revision
+            ):
                 await self._fetch_since(address, 0)
         except (PeerError, InvalidMessage):
             return
@@ -154,6 +186,8 @@
         reply = await self._clients.call(
             address, ConfigurationRequest(revision), ConfigurationReply
         )
+        if reply.failure_domain:
+            self._tracker.contact(reply.failure_domain, sent_at)
         return self._tracker.accept_reply(reply, sent_at)
 
     async def fetch_roster(self, address: str, service: str) -> RosterRecord | None:
@@ -186,11 +220,18 @@
         self._routes.accept(self._group.roster.record)
 
     def reader_addresses(self) -> list[str]:
-        """Return the control address of the group's reader, if it is another node."""
+        """Return the control addresses to ask for records before the store.
+
+        That is the group's reader. The reader itself asks the store, and while
+        the store is down other nodes that it knows.
+        """
         reader = self._group.roster.record.find(self._group.reader())
-        if reader is None or reader.node == self._settings.node.name:
+        if reader is not None and reader.node != self._settings.node.name:
+            return [reader.control]
+        if not self._store_down:
             return []
-        return [reader.control]
+        addresses = [*self._known_addresses(), *self._settings.peers.seeds]
+        return list(dict.fromkeys(addresses))
 
     async def follow_home_services(self, services: list[str]) -> None:
         """Keep the rosters of services that share quota partitions with this one."""
--- a/src/heathermount/quota/client.py
+++ b/src/heathermount/quota/client.py
@@ -22,6 +22,9 @@
 PARTITIONS: Final = 8
 # Longest wait for tokens before a refusal, in seconds.
 WAIT_S: Final = 0.05
+# Longest wait while no allocator has answered at all: a first connection, or a
+# busy owner, takes longer than a refusal for an empty bucket should.
+SILENCE_S: Final = 0.5
 # Part of the wait after which the other failure domains are asked as well.
 OWN_DOMAIN_SHARE: Final = 0.4
 # An empty allocator is not asked again for at least and at most this time.
@@ -122,7 +125,9 @@
         return self._mailbox.messages
 
     async def acquire(self, organisation: str, wait_s: float = WAIT_S) -> Token:
-        """Return a token, waiting at most `wait_s` seconds and at most 50 ms.
+        """Return a token, waiting at most `wait_s` seconds.
+
+        The wait ends after 50 ms if an allocator has answered, else after 500 ms.
 
         Raises Refusal 429 `over-rate` when the allocators that could be asked
         have no token, and 503 `quota-unreachable` when none could be asked.
@@ -134,7 +139,7 @@
             return token
         if line:
             self.wallet.note_demand(organisation)
-        return await self._wait(organisation, line, min(wait_s, WAIT_S))
+        return await self._wait(organisation, line, wait_s)
 
     async def _wait(
         self, organisation: str, line: deque[Waiter], wait_s: float
@@ -142,8 +147,11 @@
         waiter = Waiter()
         line.append(waiter)
         try:
-            with anyio.move_on_after(wait_s):
-                await self._ask_in_order(organisation, waiter, wait_s)
+            with anyio.move_on_after(min(wait_s, WAIT_S)):
+                await self._ask_in_order(organisation, waiter, min(wait_s, WAIT_S))
+            if waiter.token is None and not waiter.answered:
+                with anyio.move_on_after(min(wait_s, SILENCE_S) - WAIT_S):
+                    await self._ask_every_domain(organisation, waiter)
         except BaseException:
             if waiter.token is not None:
                 self.give_back(waiter.token)
@@ -209,6 +217,15 @@
         if waiter.token is None:
             await self._ask_all(organisation, list(partitions.values()), waiter)
 
+    async def _ask_every_domain(self, organisation: str, waiter: Waiter) -> None:
+        partitions = [
+            self._partition(organisation, domain)
+            for domain in self._holders(organisation)
+        ]
+        while waiter.token is None and not waiter.answered and partitions:
+            await self._ask_all(organisation, partitions, waiter)
+            await anyio.sleep(MIN_EMPTY_S)
+
     async def _ask_all(
         self, organisation: str, partitions: list[str], waiter: Waiter
     ) -> None:
--- a/src/heathermount/standins/fleet.py
+++ b/src/heathermount/standins/fleet.py
@@ -273,14 +273,14 @@
                     break
                 await anyio.sleep(POLL_S if waiting else 0)
         if waiting:
-            reports = [await self._describe_state(name) for name in sorted(waiting)]
+            reports = [await self.describe_state(name) for name in sorted(waiting)]
             raise FleetNotReady("; ".join(reports))
 
     async def is_ready(self, name: str) -> bool:
         answer = await self._get(self.members[name].observe, "/readyz")
         return answer is not None and answer.status == 200
 
-    async def _describe_state(self, name: str) -> str:
+    async def describe_state(self, name: str) -> str:
         answer = await self._get(self.members[name].observe, "/readyz")
         reason = answer.body.decode() if answer else "no answer"
         return f"{name}: {reason}: {self.processes[name].log_tail()}"
--- a/src/heathermount/wire/control.py
+++ b/src/heathermount/wire/control.py
@@ -104,6 +104,8 @@
     changes: list[bytes]
     document: bytes = b""
     confirmed_age_s: float = 1e9
+    # Failure domain of the node that answers.
+    failure_domain: str = ""
 
 
 class PushRequest(msgspec.Struct, array_like=True):
--- a/src/heathermount/wire/messages.py
+++ b/src/heathermount/wire/messages.py
@@ -43,8 +43,10 @@
     importance: int
     cohort: int
     weight: int
-    # Remaining time when the message was sent, in seconds.
+    # Remaining time when the message was sent, in seconds, and that time in
+    # seconds since the Unix epoch.
     deadline_s: float
+    sent_at: float
     # Extra attempts that the callee may spend on its own deeper calls.
     allowance: int
     depth: int
@@ -185,6 +187,7 @@
     draining: bool
     serving: bool
     revision: int
+    change_id: str
     roster_revision: int
     suspicions: list[Suspicion]
     stamp: tuple[int, int]
@@ -199,6 +202,7 @@
     draining: bool
     serving: bool
     revision: int
+    change_id: str
     roster_revision: int
     # Age of the store's last confirmation of the configuration, in seconds.
     confirmed_age_s: float
