Count token demand when the message is sent

The first of several concurrent requests asked for one token only, because the amount was fixed before the others had joined; a client under load then needed several round trips and refused within 50 ms (test_other_domains_grant_before_a_ refusal, seen once on a busy machine). The amount is now counted at sending, and the tests allow a longer wait than production.

--- a/src/heathermount/quota/client.py
+++ b/src/heathermount/quota/client.py
@@ -60,6 +60,7 @@
         "_find_domains",
         "_lines",
         "_mailbox",
+        "_max_wait_s",
         "_partitions",
         "_unreachable_until",
         "wallet",
@@ -76,6 +77,7 @@
         invariants: Invariants,
         tasks: TaskGroup,
         partitions: int = PARTITIONS,
+        max_wait_s: float = WAIT_S,
     ) -> None:
         self.wallet = Wallet(clock, invariants)
         self._domain = domain
@@ -83,7 +85,10 @@
         self._find_domains = find_domains
         self._clock = clock
         self._partitions = partitions
-        self._mailbox = Mailbox(owners, ask, clock, tasks, self._settle)
+        self._max_wait_s = max_wait_s
+        self._mailbox = Mailbox(
+            owners, ask, clock, tasks, self._settle, self._count_wanted
+        )
         self._lines: dict[str, deque[Waiter]] = {}
         self._empty_until: dict[tuple[str, str], float] = {}
         self._unreachable_until: dict[str, float] = {}
@@ -121,8 +126,8 @@
         """Return the number of messages sent to allocators."""
         return self._mailbox.messages
 
-    async def acquire(self, organisation: str, wait_s: float = WAIT_S) -> Token:
-        """Return a token, waiting at most `wait_s` seconds and at most 50 ms.
+    async def acquire(self, organisation: str, wait_s: float = float("inf")) -> Token:
+        """Return a token, waiting at most `wait_s` seconds and never over 50 ms.
 
         Raises Refusal 429 `over-rate` when the allocators that could be asked
         have no token, and 503 `quota-unreachable` when none could be asked.
@@ -134,7 +139,7 @@
             return token
         if line:
             self.wallet.note_demand(organisation)
-        return await self._wait(organisation, line, min(wait_s, WAIT_S))
+        return await self._wait(organisation, line, min(wait_s, self._max_wait_s))
 
     async def _wait(
         self, organisation: str, line: deque[Waiter], wait_s: float
@@ -176,12 +181,11 @@
             return
         partition = self._partition(organisation, self._domain)
         if self._is_usable(organisation, partition):
-            self._inquire(organisation, partition)
+            self._mailbox.inquire(partition, organisation)
 
-    def _inquire(self, organisation: str, partition: str) -> None:
+    def _count_wanted(self, organisation: str) -> int:
         waiting = len(self._lines.get(organisation, ()))
-        amount = max(waiting, self.wallet.wanted(organisation))
-        self._mailbox.inquire(partition, organisation, amount)
+        return max(waiting, self.wallet.wanted(organisation))
 
     def _is_empty(self, organisation: str, partition: str) -> bool:
         until = self._empty_until.get((organisation, partition), float("-inf"))
@@ -220,7 +224,7 @@
             usable = partitions
         while waiter.token is None and usable:
             for partition in usable:
-                self._inquire(organisation, partition)
+                self._mailbox.inquire(partition, organisation)
             await waiter.wake.wait()
             waiter.wake = anyio.Event()
             usable = [
--- a/src/heathermount/quota/mailbox.py
+++ b/src/heathermount/quota/mailbox.py
@@ -37,11 +37,12 @@
     __slots__ = (
         "_ask",
         "_clock",
+        "_count_wanted",
+        "_due",
         "_asked_at",
         "_owners",
         "_settle",
         "_tasks",
-        "_wishes",
         "messages",
     )
 
@@ -52,14 +53,16 @@
         clock: Clock,
         tasks: TaskGroup,
         settle: Settle,
+        count_wanted: Callable[[str], int],
     ) -> None:
         self._owners = owners
         self._ask = ask
         self._clock = clock
         self._tasks = tasks
         self._settle = settle
-        # Wishes to be sent in this turn, by partition.
-        self._wishes: dict[str, list[TokenWish]] = {}
+        self._count_wanted = count_wanted
+        # Organisations to be asked for in this turn, by partition.
+        self._due: dict[str, list[str]] = {}
         # Questions without an answer yet, by partition and organisation.
         self._asked_at: dict[tuple[str, str], float] = {}
         # Messages sent, for metrics.
@@ -73,19 +76,23 @@
         now = self._clock.monotonic()
         return now - self._asked_at.get((partition, organisation), now)
 
-    def inquire(self, partition: str, organisation: str, amount: int) -> None:
+    def inquire(self, partition: str, organisation: str) -> None:
         """Ask for tokens, unless the question is already on its way."""
         if self.is_asking(partition, organisation):
             return
         self._asked_at[partition, organisation] = self._clock.monotonic()
-        wishes = self._wishes.setdefault(partition, [])
-        wishes.append(TokenWish(organisation, amount))
-        if len(wishes) == 1:
+        due = self._due.setdefault(partition, [])
+        due.append(organisation)
+        if len(due) == 1:
             self._tasks.start_soon(self._send, partition)
 
     async def _send(self, partition: str) -> None:
         await checkpoint()
-        wishes = self._wishes.pop(partition)
+        # Counted now, so that requests of the same turn are included.
+        wishes = [
+            TokenWish(organisation, self._count_wanted(organisation))
+            for organisation in self._due.pop(partition)
+        ]
         grants: dict[str, TokenGrant] = {}
         try:
             reply = await self._ask_owner(partition, TokenRequest(partition, wishes))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,5 +1,7 @@
 """Two processes never decide for one partition at the same time."""
 
+import anyio
+import anyio.lowlevel
 import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
@@ -10,9 +12,24 @@
     run_state_machine_as_test,
 )
 
-from builders_ownership import NAME, TERM_S, Process, Task, World
+from builders_ownership import (
+    NAME,
+    TERM_S,
+    FakeStore,
+    Process,
+    Task,
+    Versioned,
+    World,
+)
+from heathermount.clocks import SystemClock
+from heathermount.config.settings import TimingSettings
+from heathermount.events import EventLog
+from heathermount.invariants import Invariants
 from heathermount.ownership import (
     NodeIdentity,
+    OwnerRecord,
+    OwnershipManager,
+    Partition,
     decode_record,
     make_key,
     rank_candidates,
@@ -366,6 +383,84 @@
     assert stored.node == name
 
 
+class LocalHost(Process):
+    """A node in one process with its store, on the event loop."""
+
+    def __init__(self) -> None:
+        self.store = LocalStore()
+        self.clock = SystemClock()
+        self.identity = NodeIdentity("pantry-1", "i1", "1", "2")
+        self.view = ["pantry-1"]
+        self.acquired = anyio.Event()
+        self.fetched = 0
+        self.record: OwnerRecord | None = None
+        events = EventLog("pantry-1", self.clock, quiet=True)
+        self.manager = OwnershipManager.from_config(
+            TimingSettings(owner_term_s=0.6),
+            self.store,
+            self.clock,
+            self.identity,
+            self,
+            events,
+            Invariants(events),
+        )
+
+    async def fetch(self, partition: str) -> OwnerRecord | None:
+        self.fetched += 1
+        await anyio.lowlevel.checkpoint()
+        return self.record
+
+    def started(self, partition: Partition, state: bytes | None) -> None:
+        self.partition = partition
+        self.acquired.set()
+
+
+class LocalStore(FakeStore):
+    """A store that answers in the same process."""
+
+    async def get(self, key: str) -> Versioned | None:
+        return super().get(key)
+
+    async def commit(
+        self, compares: dict[str, int], writes: dict[str, bytes | None]
+    ) -> bool:
+        return super().commit(compares, writes)
+
+
+def test_run_acquires_and_renews() -> None:
+    """Guards against a loop that does not renew in time."""
+
+    async def scenario() -> None:
+        host = LocalHost()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(host.manager.run)
+            with anyio.fail_after(5.0):
+                await host.acquired.wait()
+            await anyio.sleep(1.0)
+            assert host.partition is not None
+            assert host.partition.owns()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
+def test_lookups_are_shared_and_ask_a_peer_first() -> None:
+    """Guards against a store read for each request when an owner changes."""
+
+    async def scenario() -> None:
+        host = LocalHost()
+        host.record = OwnerRecord(NAME, "pantry-2", "i2", "3", "4", 7, TERM_S)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(5):
+                tasks.start_soon(host.manager.refresh, NAME)
+        assert host.fetched == 1
+        assert host.manager.find_owner(NAME) == host.record
+        host.manager.note(OwnerRecord(NAME, "pantry-1", "i1", "1", "2", 6, TERM_S))
+        assert host.manager.find_owner(NAME) == host.record
+
+    anyio.run(scenario)
+
+
 @pytest.mark.parametrize("slots", [1, 2, 8])
 def test_slots_are_stable_and_in_range(slots: int) -> None:
     """Guards against nodes of different versions disagreeing on a partition."""
