Ignore an acquisition that is confirmed after its term

A candidate whose write was answered after its own term started its partition as complete, although another node may have decided since. It never owned the partition, because the term had passed, but the host was told a wrong state. The same runs showed that the test's simulated sleep could fail, which a real one cannot; fixed. The new scenario test fails without the check.

--- a/src/heathermount/ownership/manager.py
+++ b/src/heathermount/ownership/manager.py
@@ -286,9 +286,13 @@
             self._candidacy.draining and not handed_over
         ):
             return
+        deadline = sent_at + record.term_s
+        if self._clock.monotonic() >= deadline:
+            # The answer came after the term, and another node may have decided
+            # since; reading again tells.
+            return
         state = pending.state if pending is not None and handed_over else None
         self._candidacy.pending.pop(name, None)
-        deadline = sent_at + record.term_s
         fresh_start = first or handed_over
         partition = Partition(record, self._clock, deadline, fresh_start)
         self._check_term(partition)
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -53,13 +53,16 @@
 
 
 class Operation:
-    """A call to another process: it is served once and answered or lost."""
+    """A call to another process: it is served once and answered or lost.
+
+    Without an error type it is a pause, which cannot fail.
+    """
 
     def __init__(
         self,
         act: Callable[[], Any],
-        lost: type[Exception],
-        unsent: type[Exception],
+        lost: type[Exception] | None,
+        unsent: type[Exception] | None,
         writes: bool,
     ) -> None:
         self.act = act
@@ -140,7 +143,7 @@
         )
 
     async def sleep(self, seconds: float) -> None:
-        await Operation(lambda: None, PeerTimeout, PeerTimeout, False)
+        await Operation(lambda: None, None, None, False)
 
     def wanted(self) -> list[str]:
         return [NAME]
@@ -258,14 +261,14 @@
         assert operation is not None
         if operation.writes and not operation.served:
             self.late.append(operation)
-        self._step(task, operation.lost("lost"))
+        self._step(task, operation.lost("lost") if operation.lost else None)
 
     def refuse(self, task: Task) -> None:
         """Fail without any effect, unless it has been served."""
         operation = task.operation
         assert operation is not None
         error = operation.lost if operation.served else operation.unsent
-        self._step(task, error("refused"))
+        self._step(task, error("refused") if error else None)
 
     def run(self, task: Task) -> None:
         while task in self.tasks:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -292,6 +292,24 @@
     assert world.owners() not in ([], [owner.identity.node])
 
 
+def test_acquisition_answered_after_its_term_is_not_used() -> None:
+    """Guards against a complete start although another node decided since."""
+    world = World()
+    late = world.processes[rank_candidates(NAME, NAMES)[0]]
+    others = [p for p in world.processes.values() if p is not late]
+    task = world.tick(late)
+    world.answer(task)
+    world.answer(task)
+    assert task.operation is not None
+    task.operation.serve()
+    watch_takeover(world, others, 126)
+    (name,) = world.owners()
+    world.decide(world.processes[name])
+    world.run(task)
+    assert late.partition is None
+    assert world.owners() == [name]
+
+
 def test_candidate_counts_the_term_from_after_its_read() -> None:
     """Guards against a read that was sent long before the renewal it returns."""
     world, owner, others = start_world()
