--- a/src/heathermount/clocks.py
+++ b/src/heathermount/clocks.py
@@ -22,7 +22,9 @@
     __slots__ = ()
 
     def monotonic(self) -> float:
-        return time.monotonic()
+        # Unlike time.monotonic, this clock counts the time for which the
+        # instance was suspended, which lease terms must include.
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         return time.time()
--- a/src/heathermount/quota/client.py
+++ b/src/heathermount/quota/client.py
@@ -63,6 +63,7 @@
         "_find_domains",
         "_lines",
         "_mailbox",
+        "_max_wait_s",
         "_partitions",
         "_unreachable_until",
         "wallet",
@@ -79,6 +80,7 @@
         invariants: Invariants,
         tasks: TaskGroup,
         partitions: int = PARTITIONS,
+        max_wait_s: float = WAIT_S,
     ) -> None:
         self.wallet = Wallet(clock, invariants)
         self._domain = domain
@@ -86,7 +88,10 @@
         self._find_domains = find_domains
         self._clock = clock
         self._partitions = partitions
-        self._mailbox = Mailbox(owners, ask, clock, tasks, self._settle)
+        self._max_wait_s = max_wait_s
+        self._mailbox = Mailbox(
+            owners, ask, clock, tasks, self._settle, self._count_wanted
+        )
         self._lines: dict[str, deque[Waiter]] = {}
         self._empty_until: dict[tuple[str, str], float] = {}
         self._unreachable_until: dict[str, float] = {}
@@ -124,7 +129,7 @@
         """Return the number of messages sent to allocators."""
         return self._mailbox.messages
 
-    async def acquire(self, organisation: str, wait_s: float = WAIT_S) -> Token:
+    async def acquire(self, organisation: str, wait_s: float = float("inf")) -> Token:
         """Return a token, waiting at most `wait_s` seconds.
 
         The wait ends after 50 ms if an allocator has answered, else after 500 ms.
@@ -147,10 +152,11 @@
         waiter = Waiter()
         line.append(waiter)
         try:
-            with anyio.move_on_after(min(wait_s, WAIT_S)):
-                await self._ask_in_order(organisation, waiter, min(wait_s, WAIT_S))
+            first_wait_s = min(wait_s, self._max_wait_s)
+            with anyio.move_on_after(first_wait_s):
+                await self._ask_in_order(organisation, waiter, first_wait_s)
             if waiter.token is None and not waiter.answered:
-                with anyio.move_on_after(min(wait_s, SILENCE_S) - WAIT_S):
+                with anyio.move_on_after(min(wait_s, SILENCE_S) - first_wait_s):
                     await self._ask_every_domain(organisation, waiter)
         except BaseException:
             if waiter.token is not None:
@@ -184,12 +190,11 @@
             return
         partition = self._partition(organisation, self._domain)
         if self._is_usable(organisation, partition):
-            self._inquire(organisation, partition)
+            self._mailbox.inquire(partition, organisation)
 
-    def _inquire(self, organisation: str, partition: str) -> None:
+    def _count_wanted(self, organisation: str) -> int:
         waiting = len(self._lines.get(organisation, ()))
-        amount = max(waiting, self.wallet.wanted(organisation))
-        self._mailbox.inquire(partition, organisation, amount)
+        return max(waiting, self.wallet.wanted(organisation))
 
     def _is_empty(self, organisation: str, partition: str) -> bool:
         until = self._empty_until.get((organisation, partition), float("-inf"))
@@ -237,7 +242,7 @@
             usable = partitions
         while waiter.token is None and usable:
             for partition in usable:
-                self._inquire(organisation, partition)
+                self._mailbox.inquire(partition, organisation)
             await waiter.wake.wait()
             waiter.wake = anyio.Event()
             usable = [
