Index the exceptions of a policy by what they are for

Cause: compiling a policy tried every exception on every route, at every node and for every change, on the event loop.

Change: RuleIndex finds the exceptions of a call by route, service and organisation.

--- a/src/heathermount/config/policy.py
+++ b/src/heathermount/config/policy.py
@@ -1,6 +1,9 @@
 """A document compiled for use on every request."""
 
 import hmac
+from collections.abc import Iterable
+from itertools import product
+from operator import itemgetter
 from typing import Any, Final, Self, TypeVar
 from urllib.parse import unquote
 
@@ -23,6 +26,9 @@
 
 __all__ = ["Allotment", "KeyEntry", "KeyOwner", "Policy", "Route", "Treatment"]
 
+# Route, service and organisation that an exception is for; None stands for all.
+Scope = tuple[str | None, str | None, str | None]
+
 # Methods whose treatment is cached. A caller chooses the method, so that a
 # cache of any method would grow without bound.
 STANDARD_METHODS: Final = frozenset(
@@ -82,6 +88,47 @@
 Entry = TypeVar("Entry", bound=msgspec.Struct)
 
 
+class RuleIndex:
+    """Finds the exceptions that apply to a call without trying each of them.
+
+    A policy is compiled at every node for every change, and its time must not
+    grow with the product of routes and exceptions.
+    """
+
+    __slots__ = ("_by_organisation", "_by_scope", "_not_repeatable")
+
+    def __init__(self, rules: Iterable[RuleEntry]) -> None:
+        self._by_scope: dict[Scope, list[tuple[int, RuleEntry]]] = {}
+        self._by_organisation: dict[str, list[RuleEntry]] = {}
+        # (route, service) of the exceptions that make calls non-repeatable.
+        self._not_repeatable: set[tuple[str | None, str | None]] = set()
+        for position, rule in enumerate(rules):
+            scope = (rule.route, rule.service, rule.organisation)
+            self._by_scope.setdefault(scope, []).append((position, rule))
+            if rule.organisation is not None:
+                self._by_organisation.setdefault(rule.organisation, []).append(rule)
+            if rule.repeatable is False:
+                self._not_repeatable.add((rule.route, rule.service))
+
+    def find(self, route: Route, organisation: str) -> list[RuleEntry]:
+        """Return the exceptions for an organisation's calls, the strongest last."""
+        scopes = product(
+            (None, route.name), (None, route.service), (None, organisation)
+        )
+        found = [one for scope in scopes for one in self._by_scope.get(scope, ())]
+        found.sort(key=itemgetter(0))
+        return [rule for _, rule in found]
+
+    def of_organisation(self, organisation: str) -> list[RuleEntry]:
+        """Return the exceptions that name an organisation, in order."""
+        return self._by_organisation.get(organisation, [])
+
+    def forbid_repeats(self, route: Route) -> bool:
+        """Tell whether an exception makes calls of some organisation non-repeatable."""
+        scopes = product((None, route.name), (None, route.service))
+        return any(scope in self._not_repeatable for scope in scopes)
+
+
 class Policy:
     """Answers questions about one revision; immutable but for its caches."""
 
@@ -124,7 +171,7 @@
         self.routes = routes
         self.services = sorted({route.service for route in routes})
         self._defaults = defaults
-        self._rules = rules
+        self._rules = RuleIndex(rules)
         self._keys = keys
         self._secret = secret
         self._routes: dict[str, list[Route]] = {}
@@ -240,9 +287,7 @@
         repeatable = method in defaults.repeatable_methods
         deadline_ms = defaults.deadline_ms
         extra_attempts = defaults.extra_attempts
-        for rule in self._rules:
-            if not applies(rule, route, organisation):
-                continue
+        for rule in self._rules.find(route, organisation):
             if rule.importance is not None and (not internal or rule.organisation):
                 importance = read_level(rule.importance)
             if rule.repeatable is not None:
@@ -265,9 +310,7 @@
     def _allot(self, organisation: str) -> Allotment:
         defaults = self._defaults
         rate, burst, weight = defaults.rate, defaults.burst, defaults.weight
-        for rule in self._rules:
-            if rule.organisation != organisation:
-                continue
+        for rule in self._rules.of_organisation(organisation):
             rate = rule.rate or rate
             burst = rule.burst or burst
             weight = rule.weight or weight
@@ -275,10 +318,7 @@
 
     def _needs_claims(self, route: Route) -> bool:
         """Tell whether some call of the route may be non-repeatable."""
-        if any(
-            rule.repeatable is False and applies(rule, route, rule.organisation or "")
-            for rule in self._rules
-        ):
+        if self._rules.forbid_repeats(route):
             return True
         methods = route.methods or STANDARD_METHODS
         return any(
@@ -310,14 +350,6 @@
     return Route(table.name, table.service, table.open, table.path, methods)
 
 
-def applies(rule: RuleEntry, route: Route, organisation: str) -> bool:
-    return (
-        rule.route in (None, route.name)
-        and rule.service in (None, route.service)
-        and rule.organisation in (None, organisation)
-    )
-
-
 def read_level(name: str) -> Importance:
     return Importance.__members__.get(name.upper(), Importance.NORMAL)
 
