Remove all dead members of a group in one write

Cause: a group's reader wrote the roster once for each dead member, one write for each node of a lost failure domain, within about a second.

Change: Roster.remove takes several incarnations and writes once.

Measured: not run at size. By the formula of docs/CAPACITY.md, at 5,700 servers in 590 services and 4 failure domains: before 1,425 writes, after 590 (one for each group).

Conclusion: fewer writes; several hundred within a second is still too much, and spreading them is left open.

--- a/src/heathermount/membership/group.py
+++ b/src/heathermount/membership/group.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Final
 
 import anyio
@@ -192,11 +193,10 @@
         ]
         if not gone or not self.is_reader():
             return
-        for peer in gone:
-            try:
-                await self.roster.remove(peer.member.node, peer.member.incarnation)
-            except (StoreUnavailable, StoreOutcomeUnknown):
-                return
+        with suppress(StoreUnavailable, StoreOutcomeUnknown):
+            await self.roster.remove(
+                {(peer.member.node, peer.member.incarnation) for peer in gone}
+            )
 
 
 def reader_rank(service: str, node: str) -> bytes:
--- a/src/heathermount/membership/records.py
+++ b/src/heathermount/membership/records.py
@@ -1,5 +1,6 @@
 """Roster records: the members of one service, kept in the store."""
 
+from collections.abc import Container
 from typing import Final, Self
 
 import msgspec
@@ -58,16 +59,12 @@
             members=sorted([*others, member], key=lambda m: m.node),
         )
 
-    def without_member(self, node: str, incarnation: str) -> "RosterRecord":
-        """Return the next record, without this incarnation of the node."""
+    def without_members(self, gone: Container[tuple[str, str]]) -> "RosterRecord":
+        """Return the next record, without these nodes' incarnations."""
         return RosterRecord(
             service=self.service,
             revision=self.revision + 1,
-            members=[
-                m
-                for m in self.members
-                if (m.node, m.incarnation) != (node, incarnation)
-            ],
+            members=[m for m in self.members if (m.node, m.incarnation) not in gone],
         )
 
 
--- a/src/heathermount/membership/roster.py
+++ b/src/heathermount/membership/roster.py
@@ -1,6 +1,7 @@
 """The own service's roster: joins, leaves and removals by compare-and-swap."""
 
 import random
+from collections.abc import Collection
 from typing import Final
 
 import anyio
@@ -61,18 +62,19 @@
             return True
         return await self._write(version, record.with_member(member))
 
-    async def remove(self, node: str, incarnation: str) -> bool:
-        """Take one incarnation of a node out of the roster.
+    async def remove(self, gone: Collection[tuple[str, str]]) -> bool:
+        """Take incarnations, (node, incarnation) each, out of the roster at once.
 
-        Returns False when another change came first. Raises StoreUnavailable
-        or StoreOutcomeUnknown; the caller tries again later.
+        One write for all of them keeps the store's load at one write for each
+        group when many nodes are lost at the same time. Returns False when
+        another change came first. Raises StoreUnavailable or
+        StoreOutcomeUnknown; the caller tries again later.
         """
         version, record = await self._read()
-        member = record.find(node)
-        if member is None or member.incarnation != incarnation:
+        if not any((m.node, m.incarnation) in gone for m in record.members):
             self.accept(record)
             return True
-        return await self._write(version, record.without_member(node, incarnation))
+        return await self._write(version, record.without_members(gone))
 
     async def _read(self) -> tuple[int, RosterRecord]:
         found = await self._store.get(roster_key(self.service))
--- a/src/heathermount/node/serving.py
+++ b/src/heathermount/node/serving.py
@@ -143,7 +143,7 @@
         roster = self._group.roster
         for _ in range(LEAVE_ATTEMPTS):
             try:
-                if await roster.remove(member.node, member.incarnation):
+                if await roster.remove({(member.node, member.incarnation)}):
                     return
             except (StoreUnavailable, StoreOutcomeUnknown):
                 return
