Measure what each role costs and write the capacity page

Cause: the two-year size was not worked out from measurements.

Change: python -m heathermount.standins.capacity measures slopes at three or more sizes, writes docs/measurements/capacity.jsonl, and makes docs/CAPACITY.md and the plots from it and from CAPACITY.template.md. ManagedProcess gives its process id, which reading /proc needs. A test makes the page again from the committed data.

Conclusion: see the limits in docs/CAPACITY.md.

--- /dev/null
+++ b/src/heathermount/standins/capacity.py
@@ -0,0 +1,91 @@
+"""Measures what each role costs and writes the capacity page.
+
+Run as `python -m heathermount.standins.capacity`; takes about five minutes. With
+`--page` only the page and the plots are made, from the committed measurements.
+"""
+
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Final
+
+import anyio
+import uvloop
+from absl import flags
+
+from heathermount.standins.capacity_calls import (
+    measure_added_latency,
+    measure_calls,
+    measure_profile,
+)
+from heathermount.standins.capacity_claims import measure_claims
+from heathermount.standins.capacity_config import (
+    measure_configuration,
+    measure_rosters,
+)
+from heathermount.standins.capacity_control import measure_control, measure_ownership
+from heathermount.standins.capacity_links import measure_links
+from heathermount.standins.capacity_page import write_page, write_plots
+from heathermount.standins.capacity_quota import measure_quota
+from heathermount.standins.capacity_records import Recorder, read_measurements
+from heathermount.standins.capacity_services import measure_services
+from heathermount.standins.commandline import end_on_termination, make_flag_values
+
+__all__ = ["main", "measure_all", "run"]
+
+MEASUREMENTS: Final = "measurements/capacity.jsonl"
+Measure = Callable[[Recorder, int], Awaitable[None]]
+
+STEPS: Final[tuple[Measure, ...]] = (
+    # First, while the process has no freed memory that links could use.
+    measure_links,
+    measure_rosters,
+    measure_configuration,
+    measure_quota,
+    measure_claims,
+    measure_services,
+    measure_control,
+    measure_ownership,
+    measure_calls,
+    measure_added_latency,
+    measure_profile,
+)
+
+
+async def measure_all(recorder: Recorder, seed: int) -> None:
+    """Run all measurements, one after the other."""
+    for step in STEPS:
+        await step(recorder, seed)
+
+
+def main(argv: list[str]) -> int:
+    """Measure, then write measurements, plots and page under the documents."""
+    values = make_flag_values()
+    flags.DEFINE_integer("seed", 1, "Seed of all random choices.", flag_values=values)
+    flags.DEFINE_bool("page", False, "Make only the page.", flag_values=values)
+    flags.DEFINE_string("docs", "docs", "Directory to write to.", flag_values=values)
+    values(argv)
+    end_on_termination()
+    docs = Path(values.docs)
+    if not values.page:
+        recorder = Recorder(values.seed)
+        anyio.run(
+            measure_all,
+            recorder,
+            values.seed,
+            backend_options={"loop_factory": uvloop.new_event_loop},
+        )
+        recorder.write(docs / MEASUREMENTS)
+    measurements = read_measurements(docs / MEASUREMENTS)
+    write_plots(measurements, docs / "plots")
+    write_page(measurements, docs)
+    return 0
+
+
+def run() -> None:
+    """Entry point."""
+    sys.exit(main(sys.argv))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/heathermount/standins/capacity_calls.py
@@ -0,0 +1,153 @@
+"""Processor time of a call at the entry and at the executing node, and its profile."""
+
+import os
+import pstats
+import signal
+import time
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+import anyio
+
+from heathermount.standins.capacity_fleets import MeasuredFleet
+from heathermount.standins.capacity_records import Recorder
+from heathermount.standins.connections import Connections
+from heathermount.standins.latency import LATENCY_FLEET, measure_latency
+
+__all__ = ["RATES", "measure_added_latency", "measure_calls", "measure_profile"]
+
+RATES: Final = (50.0, 100.0, 200.0, 400.0)
+WINDOW_S: Final = 8.0
+LATENCY_S: Final = 20.0
+PROFILE_RATE: Final = 150.0
+PROFILE_S: Final = 10.0
+WARM_UP_S: Final = 2.0
+# Parts of the profile, by a word in the path or name of a function.
+PARTS: Final = (
+    ("uvicorn", ("uvicorn", "httptools")),
+    ("httpcore", ("httpcore", "h11")),
+    ("anyio", ("anyio", "sniffio")),
+    ("asyncio", ("asyncio", "contextlib")),
+    ("msgspec", ("msgspec",)),
+    ("frames", ("heathermount/wire",)),
+    ("admission", ("heathermount/admission",)),
+    ("routing", ("heathermount/routing",)),
+    ("quota", ("heathermount/quota",)),
+    ("metrics", ("hdrh", "prometheus", "node/metrics")),
+    ("node", ("heathermount/node",)),
+    ("config", ("heathermount/config",)),
+    ("events and logs", ("heathermount/events", "absl", "logging")),
+)
+
+
+async def measure_calls(recorder: Recorder, seed: int) -> None:
+    """Measure both nodes at several rates of calls from the front to the back."""
+    random = Random(seed)
+    async with MeasuredFleet(LATENCY_FLEET, seed) as fleet:
+        await run_calls(fleet, RATES[0], WARM_UP_S, random)
+        for rate in RATES:
+            recorder.begin()
+            before = {name: fleet.usage(name) for name in fleet.members}
+            started = time.monotonic()
+            done, failed = await run_calls(fleet, rate, WINDOW_S, random)
+            seconds = time.monotonic() - started
+            result = {"calls_per_s": done / seconds, "failed": float(failed)}
+            for role, name in (("entry", "front-1"), ("executing", "back-1")):
+                usage = fleet.usage(name)
+                cpu_s = usage.cpu_s - before[name].cpu_s
+                result[f"{role}_cpu_share"] = cpu_s / seconds
+                result[f"{role}_memory_bytes"] = usage.memory_bytes
+                written = usage.written_bytes - before[name].written_bytes
+                result[f"{role}_written_bytes_per_s"] = written / seconds
+            recorder.add("calls", {"rate": rate}, result)
+
+
+async def run_calls(
+    fleet: MeasuredFleet, rate: float, seconds: float, random: Random
+) -> tuple[int, int]:
+    """Send calls in a Poisson process; return those answered and those failed."""
+    key = fleet.keys["shop-1"].encode()
+    headers = [(b"authorization", b"Bearer " + key)]
+    connections = Connections(fleet.members["front-1"].callers)
+    answered = failed = 0
+
+    async def call() -> None:
+        nonlocal answered, failed
+        answer = await connections.request("GET", "/back/far", headers)
+        answered += 1
+        failed += answer.status != 200
+
+    async with anyio.create_task_group() as tasks:
+        next_at = anyio.current_time()
+        ends_at = next_at + seconds
+        while next_at < ends_at:
+            next_at += random.expovariate(rate)
+            await anyio.sleep_until(next_at)
+            tasks.start_soon(call)
+    connections.close()
+    return answered, failed
+
+
+async def measure_added_latency(recorder: Recorder, seed: int) -> None:
+    """Measure the latency that one and two nodes add to a call."""
+    recorder.begin()
+    paths = await measure_latency(seed, LATENCY_S)
+    direct = paths[0]
+    for nodes, path in enumerate(paths):
+        recorder.add(
+            "latency",
+            {"nodes": nodes},
+            {
+                "calls": path.calls,
+                "failed": path.failed,
+                "p50_ms": path.p50_ms,
+                "p99_ms": path.p99_ms,
+                "added_p50_ms": path.p50_ms - direct.p50_ms,
+                "added_p99_ms": path.p99_ms - direct.p99_ms,
+            },
+        )
+
+
+async def measure_profile(recorder: Recorder, seed: int) -> None:
+    """Profile both nodes under load; times include the profiler's overhead."""
+    random = Random(seed)
+    recorder.begin()
+    roles = (("entry", "front-1"), ("executing", "back-1"))
+    async with MeasuredFleet(LATENCY_FLEET, seed, profile=True) as fleet:
+        await run_calls(fleet, PROFILE_RATE, WARM_UP_S, random)
+        for _, name in roles:
+            os.kill(fleet.processes[name].pid, signal.SIGUSR1)
+        calls, _ = await run_calls(fleet, PROFILE_RATE, PROFILE_S, random)
+        for role, name in roles:
+            await fleet.terminate(name)
+            path = fleet.directory / f"{name}.profile"
+            recorder.add(
+                f"profile-{role}", {"calls": calls}, summarise_profile(path, calls)
+            )
+
+
+def summarise_profile(path: Path, calls: int) -> dict[str, float]:
+    """Return the processor time of each part, in microseconds for each call."""
+    stats: Any = pstats.Stats(str(path))
+    totals: dict[str, float] = {}
+    for function, (_, _, own_s, _, callers) in stats.stats.items():
+        for part, seconds in attribute(function, own_s, callers):
+            totals[part] = totals.get(part, 0.0) + seconds
+    return {f"{part}_us": 1e6 * s / calls for part, s in sorted(totals.items())}
+
+
+def attribute(function: Any, own_s: float, callers: Any) -> list[tuple[str, float]]:
+    """Give a built-in function's time to the parts that call it."""
+    part = part_of(function)
+    if part or not callers:
+        return [(part or "other", own_s)]
+    return [(part_of(caller) or "other", row[2]) for caller, row in callers.items()]
+
+
+def part_of(function: tuple[str, int, str]) -> str:
+    file, _, name = function
+    for part, words in PARTS:
+        if any(word in file or word in name for word in words):
+            return part
+    return ""
--- /dev/null
+++ b/src/heathermount/standins/capacity_fleets.py
@@ -0,0 +1,106 @@
+"""Fleets that the capacity measurements run, and readings of their nodes."""
+
+import sys
+from collections.abc import Iterable
+from typing import Any, Final
+
+from heathermount.standins.capacity_records import ProcessUsage, read_usage
+from heathermount.standins.fleet import Fleet
+from heathermount.standins.fleets import (
+    FleetDescription,
+    FleetRoute,
+    OrganisationDescription,
+    ServiceDescription,
+)
+from heathermount.standins.processes import ManagedProcess
+
+__all__ = ["MeasuredFleet", "describe_groups", "describe_profile_command"]
+
+READY_TIMEOUT_S: Final = 120.0
+DOMAINS: Final = ("a", "b", "c", "d")
+
+# Profiles the processor time from SIGUSR1 to the end of the process, so that the
+# start is left out.
+PROFILE_SCRIPT: Final = """
+import cProfile, runpy, signal, sys, time
+output, module = sys.argv[1:3]
+sys.argv = [module, *sys.argv[3:]]
+profile = cProfile.Profile(time.process_time)
+signal.signal(signal.SIGUSR1, lambda *_: profile.enable())
+try:
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
+finally:
+    profile.disable()
+    profile.dump_stats(output)
+"""
+
+
+class MeasuredFleet(Fleet):
+    """A fleet whose processes can be read by their identifiers.
+
+    With `profile` the nodes run under a profiler of processor time.
+    """
+
+    __slots__ = ("profile",)
+
+    def __init__(
+        self,
+        description: FleetDescription,
+        seed: int,
+        overrides: dict[str, dict[str, Any]] | None = None,
+        profile: bool = False,
+    ) -> None:
+        super().__init__(description, seed, overrides)
+        self.profile = profile
+
+    async def wait_ready(
+        self, names: Iterable[str], timeout_s: float = READY_TIMEOUT_S
+    ) -> None:
+        """Wait longer than other runs: up to 60 nodes start at the same time."""
+        await super().wait_ready(names, timeout_s)
+
+    def usage(self, name: str) -> ProcessUsage:
+        return read_usage(self.processes[name].pid)
+
+    def _add_process(self, name: str, module: str, flag: str) -> None:
+        super()._add_process(name, module, flag)
+        if self.profile and name in self.members:
+            command = describe_profile_command(self, name, module, flag)
+            self.processes[name] = ManagedProcess(name, command, self.directory)
+
+
+def describe_profile_command(
+    fleet: Fleet, name: str, module: str, flag: str
+) -> list[str]:
+    output = str(fleet.directory / f"{name}.profile")
+    return [sys.executable, "-c", PROFILE_SCRIPT, output, module, flag]
+
+
+def describe_groups(sizes: Iterable[int]) -> FleetDescription:
+    """Return an idle fleet of one service for each group size."""
+    services = tuple(
+        ServiceDescription(
+            name=f"group{size}",
+            servers=size,
+            slots=50,
+            connections=100,
+            routes=(
+                FleetRoute(name=f"read{size}", path=f"/group{size}/read", open=True),
+                FleetRoute(
+                    name=f"write{size}", path=f"/group{size}/write", methods=("POST",)
+                ),
+            ),
+            cold_start_s=0.0,
+        )
+        for size in sizes
+    )
+    return FleetDescription(
+        name="groups",
+        failure_domains=DOMAINS,
+        services=services,
+        organisations=tuple(
+            OrganisationDescription(name=f"shop-{n}", rate=100.0, burst=200.0)
+            for n in range(8)
+        ),
+        servers_per_process=16,
+    )
--- /dev/null
+++ b/src/heathermount/standins/capacity_limits.py
@@ -0,0 +1,158 @@
+"""Compares the extrapolated figures with the limits of the two-year size."""
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from heathermount.standins.capacity_text import format_figure, make_rows
+
+__all__ = ["LIMITS", "Limit", "make_limits"]
+
+
+class Limit(NamedTuple):
+    """An upper limit, the figure compared with it, and what a breach would need."""
+
+    text: str
+    figure: str
+    limit: float
+    unit: str
+    remedy: str
+
+
+PER_LOAD: Final = (
+    "make the number of quota partitions follow the load, or let one node of a "
+    "group ask for the whole group"
+)
+PACE: Final = "pace starts, and let the group's reader look up owners for its group"
+
+LIMITS: Final = (
+    Limit(
+        "control processor time of an idle node",
+        "node_cpu",
+        0.027,
+        "percent",
+        "send heartbeats less often, or to fewer members",
+    ),
+    Limit(
+        "the same with the quota partition it owns, all calls from outside",
+        "owner_cpu_all",
+        0.027,
+        "percent",
+        PER_LOAD,
+    ),
+    Limit(
+        "the same with the quota partition it owns, every call at a chain's depth",
+        "owner_cpu_deep",
+        0.027,
+        "percent",
+        PER_LOAD,
+    ),
+    Limit(
+        "processor time of a claim owner",
+        "claim_owner_cpu",
+        0.027,
+        "percent",
+        "more claim partitions in services with many such calls",
+    ),
+    Limit(
+        "memory of a node",
+        "node_memory",
+        128e6,
+        "mb",
+        "hold fewer links",
+    ),
+    Limit(
+        "memory of an owner of a quota partition",
+        "quota_owner_memory",
+        128e6,
+        "mb",
+        PER_LOAD,
+    ),
+    Limit(
+        "memory of a claim owner, bodies included",
+        "claim_total_memory",
+        128e6,
+        "mb",
+        "bound the claims held by a table, and refuse new ones when it is full",
+    ),
+    Limit("control bytes of a node, both ways", "node_bytes", 17e3, "kbps", "–"),
+    Limit(
+        "control bytes of a group's reader, both ways",
+        "reader_bytes",
+        17e3,
+        "kbps",
+        "read a small head without deltas, and the deltas only after a change",
+    ),
+    Limit(
+        "control bytes of an owner of a quota partition, calls at depth",
+        "owner_bytes_deep",
+        17e3,
+        "kbps",
+        PER_LOAD,
+    ),
+    Limit("a change in force everywhere", "spread_size_s", 20.0, "s", "–"),
+    Limit(
+        "latency added by one node at p99",
+        "added_p99_1",
+        0.49e-3,
+        "ms",
+        "see the profile: the required HTTP libraries cost the most",
+    ),
+    Limit(
+        "latency added by two nodes at p99",
+        "added_p99_2",
+        0.49e-3,
+        "ms",
+        "see the profile: the required HTTP libraries cost the most",
+    ),
+    Limit("store reads, undisturbed", "store_reads", 2000.0, "per_s", "–"),
+    Limit("store writes, undisturbed", "store_writes", 300.0, "per_s", "–"),
+    Limit("largest value in the store", "snapshot", 1e6, "kb", "–"),
+    Limit(
+        "store reads during an outage",
+        "outage_reads",
+        2000.0,
+        "per_s",
+        "let the members of a group take turns, and wait longer after each failure",
+    ),
+    Limit(
+        "store writes after a failure domain is lost",
+        "removal_rate",
+        300.0,
+        "per_s",
+        "spread the removals of different groups over a few seconds",
+    ),
+    Limit(
+        "store reads after a failure domain is lost, rosters",
+        "refresh_doubt_store",
+        2000.0,
+        "per_s",
+        "ask the own group's reader before the store",
+    ),
+    Limit(
+        "store reads after a failure domain is lost, takeovers",
+        "takeover_rate",
+        2000.0,
+        "per_s",
+        "–",
+    ),
+    Limit("time of a fleet-wide start at the store", "start_s", 60.0, "s", PACE),
+)
+
+
+def make_limits(figures: Mapping[str, float]) -> str:
+    """Return one row for each limit."""
+    rows = []
+    for one in LIMITS:
+        value = figures[one.figure]
+        met = value <= one.limit
+        rows.append(
+            [
+                one.text,
+                format_figure(one.limit, one.unit),
+                format_figure(value, one.unit),
+                "met" if met else "**not met**",
+                "–" if met else one.remedy,
+            ]
+        )
+    header = ["limit", "value", "extrapolated", "result", "what would have to change"]
+    return make_rows(header, rows)
--- /dev/null
+++ b/src/heathermount/standins/capacity_records.py
@@ -0,0 +1,151 @@
+"""Measurements of the capacity page: records, line fits and process readings."""
+
+import os
+import statistics
+import subprocess
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final, NamedTuple
+
+import msgspec
+
+__all__ = [
+    "Line",
+    "Measurement",
+    "ProcessUsage",
+    "Recorder",
+    "fit_line",
+    "read_measurements",
+    "read_usage",
+]
+
+TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
+# Fields of /proc/PID/stat after the command name.
+USER_TICKS: Final = 11
+SYSTEM_TICKS: Final = 12
+
+
+class Measurement(msgspec.Struct, frozen=True, kw_only=True):
+    """One measured point: its sizes, its result, and under which conditions."""
+
+    experiment: str
+    seed: int
+    revision: str
+    # Load average over one minute, before and after the point was measured.
+    load_before: float
+    load_after: float
+    sizes: dict[str, float]
+    result: dict[str, float]
+
+
+class Line(NamedTuple):
+    """A least-squares line; `error` is the root mean square of the residuals."""
+
+    base: float
+    slope: float
+    error: float
+    points: int
+
+    def at(self, size: float) -> float:
+        return self.base + self.slope * size
+
+
+def fit_line(points: Sequence[tuple[float, float]]) -> Line:
+    """Fit a line through at least three points of different sizes."""
+    if len({x for x, _ in points}) < 3:
+        raise ValueError(f"{len(points)} points; measure at three or more sizes")
+    slope, base = statistics.linear_regression(*zip(*points, strict=True))
+    squares = [(y - base - slope * x) ** 2 for x, y in points]
+    return Line(base, slope, statistics.fmean(squares) ** 0.5, len(points))
+
+
+class Recorder:
+    """Collects measurements of one run."""
+
+    __slots__ = ("_load", "_revision", "_seed", "measurements")
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._revision = read_revision()
+        self._load = os.getloadavg()[0]
+        self.measurements: list[Measurement] = []
+
+    def begin(self) -> None:
+        """Note the machine's load before a point is measured."""
+        self._load = os.getloadavg()[0]
+
+    def add(
+        self, experiment: str, sizes: dict[str, float], result: dict[str, float]
+    ) -> None:
+        measurement = Measurement(
+            experiment=experiment,
+            seed=self._seed,
+            revision=self._revision,
+            load_before=round(self._load, 2),
+            load_after=round(os.getloadavg()[0], 2),
+            sizes=sizes,
+            result={name: float(f"{value:.6g}") for name, value in result.items()},
+        )
+        self.measurements.append(measurement)
+        print(msgspec.json.encode(measurement).decode(), flush=True)
+
+    def write(self, path: Path) -> None:
+        """Write one JSON object a line."""
+        path.parent.mkdir(parents=True, exist_ok=True)
+        lines = [msgspec.json.encode(one) + b"\n" for one in self.measurements]
+        path.write_bytes(b"".join(lines))
+
+
+def read_measurements(path: Path) -> list[Measurement]:
+    """Read what `Recorder.write` wrote."""
+    lines = path.read_bytes().splitlines()
+    return [msgspec.json.decode(line, type=Measurement) for line in lines]
+
+
+def read_revision() -> str:
+    """Return the commit that is measured, marked when files differ from it."""
+    command = ["git", "describe", "--always", "--dirty", "--exclude=*"]
+    directory = Path(__file__).parent
+    found = subprocess.run(
+        command, cwd=directory, capture_output=True, text=True, check=False
+    )
+    return found.stdout.strip() or "unknown"
+
+
+class ProcessUsage(NamedTuple):
+    """Totals of a process: processor time, memory, and bytes read and written.
+
+    The bytes cover the sockets, because the event loop uses `read` and `write`;
+    they include the log, which is short on an idle node.
+    """
+
+    cpu_s: float
+    memory_bytes: float
+    read_bytes: float
+    written_bytes: float
+
+
+def read_usage(pid: int) -> ProcessUsage:
+    """Read a process's totals; raise OSError when it has ended."""
+    directory = Path(f"/proc/{pid}")
+    stat = (directory / "stat").read_text().rpartition(")")[2].split()
+    ticks = int(stat[USER_TICKS]) + int(stat[SYSTEM_TICKS])
+    status = read_fields(directory / "status")
+    moved = read_fields(directory / "io")
+    return ProcessUsage(
+        ticks / TICKS_PER_S,
+        status["VmRSS"] * 1024,
+        moved["rchar"],
+        moved["wchar"],
+    )
+
+
+def read_fields(path: Path) -> dict[str, float]:
+    """Return the numeric fields of a file of "name: number unit" lines."""
+    fields = {}
+    for line in path.read_text().splitlines():
+        name, _, value = line.partition(":")
+        words = value.split()
+        if words and words[0].isdigit():
+            fields[name] = float(words[0])
+    return fields
--- a/src/heathermount/standins/processes.py
+++ b/src/heathermount/standins/processes.py
@@ -61,6 +61,11 @@
     def running(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Return the process id; 0 before the first start."""
+        return 0 if self._process is None else self._process.pid
+
     @property
     def returncode(self) -> int | None:
         return None if self._process is None else self._process.poll()
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,16 +1,33 @@
 """Tests of the capacity page and of the mechanisms that it made scale."""
 
 from itertools import product
+from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, Final
 
+import anyio
 import pytest
 
+from heathermount.clocks import ManualClock
 from heathermount.config.documents import FleetDocument
 from heathermount.config.policy import Policy
+from heathermount.errors import PeerUnreachable
+from heathermount.events import EventLog
+from heathermount.membership import (
+    Directory,
+    MemberRecord,
+    Roster,
+    RosterRecord,
+    roster_key,
+)
 from heathermount.node.partitions import HomeServices
+from heathermount.standins.capacity_page import PAGE, TEMPLATE, render_page
+from heathermount.standins.capacity_records import fit_line, read_measurements
+from heathermount.standins.store import FakeStore, StoreState
 from heathermount.values import Importance
 
+DOCS: Final = Path(__file__).parents[1] / "docs"
+
 ORGANISATIONS = ("shop-1", "shop-2", "shop-3")
 ROUTES = {"read": "pantry", "write": "pantry", "pay": "orders"}
 
@@ -87,3 +104,81 @@
     assert homes.find("quota/a/0", list(services)) == first
     rest = [service for service in services if service != first[0]]
     assert homes.find("quota/a/0", rest)[:2] == first[1:]
+
+
+def make_roster_record(members: int) -> RosterRecord:
+    return RosterRecord(
+        service="pantry",
+        revision=1,
+        members=[
+            MemberRecord(
+                node=f"pantry-{number}",
+                incarnation=str(number),
+                peers=f"10.0.0.{number}:1",
+                control=f"10.0.0.{number}:2",
+                failure_domain="a",
+            )
+            for number in range(members)
+        ],
+    )
+
+
+def test_refresh_asks_several_members_before_the_store() -> None:
+    """Guards against a herd of store reads when a failure domain is lost."""
+    anyio.run(refresh_with_lost_members)
+
+
+async def refresh_with_lost_members() -> None:
+    clock = ManualClock()
+    state = StoreState(clock, Random(1))
+    asked: list[str] = []
+
+    async def fetch(address: str, service: str) -> RosterRecord | None:
+        asked.append(address)
+        if len(asked) < 3:
+            raise PeerUnreachable(address)
+        return make_roster_record(9)
+
+    directory = Directory(FakeStore(state), clock, Random(1), fetch, list)
+    directory.accept(make_roster_record(8))
+    await directory.refresh("pantry")
+    assert len(set(asked)) == 3
+    assert state.counters["range"] == 0
+
+
+def test_dead_members_leave_the_roster_in_one_write() -> None:
+    """Guards against one store write for each node of a lost failure domain."""
+    anyio.run(remove_several_members)
+
+
+async def remove_several_members() -> None:
+    clock = ManualClock()
+    state = StoreState(clock, Random(1))
+    store = FakeStore(state)
+    record = make_roster_record(4)
+    key = roster_key("pantry")
+    assert await store.commit({key: 0}, {key: record.encode()})
+    events = EventLog("test", clock, quiet=True)
+    roster = Roster("pantry", store, events, Random(1))
+    assert await roster.remove(
+        {("pantry-1", "1"), ("pantry-2", "2"), ("pantry-3", "0")}
+    )
+    # The third names an earlier incarnation, which has left already.
+    assert [m.node for m in roster.record.members] == ["pantry-0", "pantry-3"]
+    assert state.counters["txn"] == 2
+
+
+def test_a_line_is_not_fitted_through_two_sizes() -> None:
+    """Guards against a slope that no third size confirms."""
+    line = fit_line([(1.0, 3.0), (2.0, 5.0), (4.0, 9.0)])
+    assert (line.base, line.slope, line.error) == pytest.approx((1.0, 2.0, 0.0))
+    with pytest.raises(ValueError, match="three or more"):
+        fit_line([(1.0, 3.0), (2.0, 5.0), (2.0, 6.0)])
+
+
+def test_the_page_is_made_from_the_committed_measurements() -> None:
+    """Guards against a figure that was typed or measured without its data."""
+    measurements = read_measurements(DOCS / "measurements" / "capacity.jsonl")
+    template = (DOCS / TEMPLATE).read_text(encoding="utf-8")
+    page = (DOCS / PAGE).read_text(encoding="utf-8")
+    assert render_page(template, measurements) == page
