--- a/src/heathermount/standins/fleet.py
+++ b/src/heathermount/standins/fleet.py
@@ -411,6 +411,7 @@
         node=member.local,
         slots=service.slots,
         connections=service.connections,
+        backlog=service.backlog,
         routes=[route.to_work() for route in service.routes],
         cold_start_s=service.cold_start_s,
     )
--- a/src/heathermount/standins/fleets.py
+++ b/src/heathermount/standins/fleets.py
@@ -54,6 +54,8 @@
     connections: int
     routes: tuple[FleetRoute, ...]
     cold_start_s: float = 1.0
+    # Requests beyond the slots that wait at a server; further ones are shed.
+    backlog: int = 8
 
 
 class OrganisationDescription(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/heathermount/standins/processes.py
+++ b/src/heathermount/standins/processes.py
@@ -61,6 +61,10 @@
     def running(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int | None:
+        return None if self._process is None else self._process.pid
+
     @property
     def returncode(self) -> int | None:
         return None if self._process is None else self._process.poll()
--- /dev/null
+++ b/src/heathermount/standins/scenarios.py
@@ -0,0 +1,119 @@
+"""Scenarios and policy variants of the policy measurements, as data."""
+
+from typing import Final
+
+import msgspec
+
+from heathermount.standins.caller import RetrySettings
+
+__all__ = [
+    "MECHANISMS",
+    "SCENARIOS",
+    "VARIANTS",
+    "Scenario",
+    "make_overrides",
+]
+
+MECHANISMS: Final = (
+    "early_rejection",
+    "cohorts",
+    "chain_retries",
+    "fair_queueing",
+    "adaptive_limit",
+)
+
+PLAIN_RETRIES: Final = RetrySettings(limit=1, delay_s=0.2)
+HARD_RETRIES: Final = RetrySettings(
+    limit=4,
+    delay_s=0.1,
+    reasons=("not-run", "unknown", "failed", "timeout", "broken", "refused"),
+)
+
+
+class Scenario(msgspec.Struct, frozen=True, kw_only=True):
+    """Load and disturbance of a run; times in seconds after the load's start.
+
+    `base` and `declared` are shares of the nominal capacity: the offered load
+    outside of the surge, and the sum of the organisations' declared rates.
+    """
+
+    name: str
+    title: str
+    base: float = 0.7
+    declared: float = 1.0
+    start_s: float = 3.0
+    end_s: float = 9.0
+    duration_s: float = 14.0
+    # Factor on all organisations' load, or on that of `surging` only.
+    surge: float = 1.0
+    # Position of the surging organisation; -1: all.
+    surging: int = -1
+    # One of: none, slow, lose-third, store-outage, cold-start.
+    disturbance: str = "none"
+    # When recovery counts from: "end" or "start" of the disturbance.
+    recovery_from: str = "end"
+    retries: RetrySettings = msgspec.field(default_factory=lambda: PLAIN_RETRIES)
+
+
+SCENARIOS: Final = {
+    scenario.name: scenario
+    for scenario in (
+        Scenario(
+            name="overload",
+            title="2x overload of the whole fleet",
+            declared=2.4,
+            surge=2.0 / 0.7,
+        ),
+        Scenario(
+            name="slow",
+            title="deep service 5x slower, callers resend hard",
+            disturbance="slow",
+            retries=HARD_RETRIES,
+        ),
+        Scenario(name="steady", title="steady at 70% of capacity"),
+        Scenario(
+            name="surge",
+            title="one large organisation at 5x its load",
+            surge=5.0,
+            surging=1,
+        ),
+        Scenario(
+            name="loss",
+            title="a third of the deep service's servers lost",
+            base=0.6,
+            disturbance="lose-third",
+            recovery_from="start",
+        ),
+        Scenario(
+            name="store",
+            title="store outage",
+            disturbance="store-outage",
+        ),
+        Scenario(
+            name="cold",
+            title="deep service starts cold",
+            disturbance="cold-start",
+            end_s=5.0,
+        ),
+    )
+}
+
+# Every variant names the mechanisms that are on; admission is listed separately.
+VARIANTS: Final[dict[str, tuple[str, ...]]] = {
+    "none": (),
+    "fixed": ("admission",),
+    "all": ("admission", *MECHANISMS),
+    **{
+        f"less {left_out}": (
+            "admission",
+            *(name for name in MECHANISMS if name != left_out),
+        )
+        for left_out in MECHANISMS
+    },
+}
+
+
+def make_overrides(variant: str) -> dict[str, dict[str, bool]]:
+    """Return the settings of a variant, for every node."""
+    enabled = VARIANTS[variant]
+    return {"policy": {name: name in enabled for name in ("admission", *MECHANISMS)}}
