Scale slots and service times apart, and report held slot time

With slots and rates both divided by 16, the slots of the Kettering orders service were held 92 to 95% of the time at a goodput of 40 to 62% of nominal capacity, for the processes' own time was not small against service times (trial runs, 2x overload, load average 22).

--- a/src/heathermount/standins/capacity_model.py
+++ b/src/heathermount/standins/capacity_model.py
@@ -20,19 +20,21 @@
 STEPS: Final = 2000
 
 
-def scale_fleet(fleet: FleetDescription, factor: int) -> FleetDescription:
-    """Divide slots, waiting requests and service rates of a fleet by one factor."""
+def scale_fleet(
+    fleet: FleetDescription, slot_factor: int, time_factor: int
+) -> FleetDescription:
+    """Divide slots and waiting requests by one factor, service rates by another."""
     services = []
     for service in fleet.services:
-        slots = max(1, round(service.slots / factor))
+        slots = max(1, round(service.slots / slot_factor))
         services.append(
             msgspec.structs.replace(
                 service,
                 slots=slots,
                 # Without control, a server takes what its connections bring.
-                backlog=round(service.connections / factor) - slots,
+                backlog=round(service.connections / slot_factor) - slots,
                 routes=tuple(
-                    msgspec.structs.replace(route, mean_ms=route.mean_ms * factor)
+                    msgspec.structs.replace(route, mean_ms=route.mean_ms * time_factor)
                     for route in service.routes
                 ),
             )
--- a/src/heathermount/standins/measurement_page.py
+++ b/src/heathermount/standins/measurement_page.py
@@ -15,7 +15,7 @@
 
 from heathermount.standins.costs import CostResult
 from heathermount.standins.fleets import CANCELLI, KETTERING
-from heathermount.standins.policy_runs import SCALE, PolicyResult
+from heathermount.standins.policy_runs import SLOT_FACTOR, TIME_FACTOR, PolicyResult
 from heathermount.standins.records import read_lines
 from heathermount.standins.scenarios import SCENARIOS, VARIANTS
 
@@ -32,6 +32,8 @@
     "variant",
     "runs",
     "goodput",
+    "slots held",
+    "held usefully",
     "success before",
     "success during",
     "recovery s",
@@ -58,7 +60,8 @@
     costs = read_data(directory / "measurements" / "latency.jsonl", CostResult)
     template = Template((directory / "measurements.template.md").read_text())
     return template.substitute(
-        scale=SCALE,
+        slot_factor=SLOT_FACTOR,
+        time_factor=TIME_FACTOR,
         capacity=describe_capacity(results),
         latency=render_latency(costs),
         costs=render_costs(costs),
@@ -186,6 +189,8 @@
         variant,
         str(len(runs)),
         spread([r.goodput for r in runs], percent),
+        spread([r.busy for r in runs], percent),
+        spread([r.useful for r in runs], percent),
         spread([r.success_before for r in runs], percent),
         spread([r.success_during for r in runs], percent),
         spread(recoveries(runs), seconds),
