Assign cohorts fairly between organisations

Cause: a threshold on plain cohorts rejects the same share of every organisation at the entry node, so that the fair queue behind it never sees most of the requests; FairCohorts existed but no node used it. The entry node now scales cohorts with it, unless cohorts or fair queueing is switched off.

--- a/src/heathermount/node/entry.py
+++ b/src/heathermount/node/entry.py
@@ -3,7 +3,7 @@
 import hashlib
 from functools import partial
 
-from heathermount.admission import ThresholdTable
+from heathermount.admission import FairCohorts, ThresholdTable
 from heathermount.config.policy import Policy, Route, Treatment
 from heathermount.errors import Refusal
 from heathermount.node.calls import Call, CallContext
@@ -33,6 +33,7 @@
         "_claimed",
         "_clock",
         "_dispatcher",
+        "_fair_cohorts",
         "_metrics",
         "_policy",
         "_quota",
@@ -58,6 +59,7 @@
         self._thresholds = thresholds
         self._resends = resends
         self._dispatcher = dispatcher
+        self._fair_cohorts = FairCohorts(parts.clock)
         self._metrics = parts.metrics
 
     async def call_from_caller(
@@ -80,6 +82,7 @@
         if route is None or not route.open:
             raise make_refusal(Reason.ROUTE_UNKNOWN, Outcome.NOT_RUN)
         treatment = policy.classify(route, owner.organisation, method)
+        weight = policy.allotment(owner.organisation).weight
         root = make_root(self._clock.wall())
         call = Call(
             root=root,
@@ -92,8 +95,10 @@
             organisation=owner.organisation,
             key_id=owner.key_id,
             importance=treatment.importance,
-            cohort=cohort_of(root) if self._policy.cohorts else 0,
-            weight=policy.allotment(owner.organisation).weight,
+            cohort=self._choose_cohort(
+                root, owner.organisation, weight, treatment.importance
+            ),
+            weight=weight,
             deadline=self._clock.monotonic() + treatment.deadline_s,
             ledger=AttemptLedger(treatment.extra_attempts),
             depth=1,
@@ -252,6 +257,16 @@
             return await self._claimed.run(call)
         return await self._dispatcher.dispatch(call)
 
+    def _choose_cohort(
+        self, root: str, organisation: str, weight: int, importance: Importance
+    ) -> int:
+        if not self._policy.cohorts:
+            return 0
+        cohort = cohort_of(root)
+        if not self._policy.fair_queueing:
+            return cohort
+        return self._fair_cohorts.scale(organisation, weight, importance, cohort)
+
     def _reject_early(self, call: Call) -> None:
         if not self._policy.early_rejection:
             return
