Limit the cut that few requests can cause

Cause: with few slots an interval of 0.1 s offers a handful of requests, and one shed request of three moved the threshold by a third of all arrivals, again and again. Without early rejection the same simulated server lost nothing. Change: shares are taken of at least 40 offered requests.

Measured: the tests' Workload (2x overload, three classes, eight organisations, fair cohorts), served share of capacity: 4 slots 0.746 -> 0.873, 12 slots 0.855 -> 0.927, 30 slots 0.976 -> 0.976. A bound of 80 gave 0.829, 0.923 and 0.966. pytest tests/test_admission.py passes. Conclusion: better for servers with few slots, unchanged at 30 slots.

--- a/src/heathermount/admission/shedding.py
+++ b/src/heathermount/admission/shedding.py
@@ -18,6 +18,11 @@
 # One interval's evictions may include a burst, so a single cut is limited.
 MAX_CUT: Final = 0.5
 
+# An interval with fewer offered requests than this is taken as a part of so
+# many: at 4 slots, one shed request of three cut a third of all arrivals, which
+# left a quarter of the server idle under 2x overload.
+MIN_OFFERED: Final = 40
+
 # Below this share of the limit there is room for more than random variation,
 # and steps up double; between it and the limit they stay at the first step.
 # Doubling up to the limit itself overshot by a class within 0.6 s.
@@ -123,7 +128,9 @@
         stands = self._lowest_queue * 2 > capacity
         if self._excess or stands:
             growth = queued - self._queue_at_start + self._excess
-            share = growth / max(1, self._offered) + (EXTRA_CUT if stands else 0.0)
+            share = growth / max(MIN_OFFERED, self._offered) + (
+                EXTRA_CUT if stands else 0.0
+            )
             self._fall(share)
         elif busy < ROOM * limit:
             self._rise()
