--- a/src/heathermount/standins/measurement_page.py
+++ b/src/heathermount/standins/measurement_page.py
@@ -67,6 +67,7 @@
         costs=render_costs(costs),
         targets=render_targets(results),
         policy=render_policy(results),
+        history=render_history(results),
         revisions=", ".join(find_revisions(results, costs)),
         runs=str(len(results)),
     )
@@ -177,11 +178,30 @@
 def select(
     results: Iterable[PolicyResult], fleet: str, scenario: str, variant: str
 ) -> list[PolicyResult]:
-    return [
+    """Return the runs of one kind at the revision that was measured last."""
+    runs = [
         r
         for r in results
         if (r.fleet, r.scenario, r.variant) == (fleet, scenario, variant)
     ]
+    return [r for r in runs if r.revision == runs[-1].revision]
+
+
+def render_history(results: Sequence[PolicyResult]) -> str:
+    """Tabulate everything on, at each revision that was measured."""
+    rows = []
+    for fleet in FLEETS:
+        for scenario in SCENARIOS.values():
+            runs = [
+                r
+                for r in results
+                if (r.fleet, r.scenario, r.variant) == (fleet, scenario.name, "all")
+            ]
+            for revision in dict.fromkeys(r.revision for r in runs):
+                chosen = [r for r in runs if r.revision == revision]
+                row = render_row(revision, chosen)
+                rows.append((fleet, scenario.title, *row))
+    return make_table(("fleet", "scenario", "revision", *POLICY_HEADS[1:]), rows)
 
 
 def render_row(variant: str, runs: Sequence[PolicyResult]) -> Row:
