--- a/src/heathermount/admission/shedding.py
+++ b/src/heathermount/admission/shedding.py
@@ -21,7 +21,7 @@
 # An interval with fewer offered requests than this is taken as a part of so
 # many: at 4 slots, one shed request of three cut a third of all arrivals, which
 # left a quarter of the server idle under 2x overload.
-MIN_OFFERED: Final = 40
+MIN_OFFERED: Final = 20
 
 # Below this share of the limit there is room for more than random variation,
 # and steps up double; between it and the limit they stay at the first step.
--- /dev/null
+++ b/tests/test_few_slots.py
@@ -0,0 +1,32 @@
+"""Admission at servers with few slots."""
+
+from random import Random
+
+import pytest
+from builders_policy import Workload
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@pytest.mark.parametrize(("slots", "least"), [(4, 0.82), (12, 0.9)])
+async def test_few_slots_are_kept_busy(slots: int, least: float) -> None:
+    """Guards against one shed request of few cutting a large share of arrivals."""
+    load = Workload(slots=slots, service_s=0.25, fair_cohorts=True)
+    random = Random(5)
+    names = [f"cart-{number}" for number in range(8)]
+    rates = (400, 300, 80, 60, 50, 40, 30, 20)
+
+    def offer() -> tuple[str, int]:
+        organisation = random.choices(names, rates)[0]
+        return organisation, random.choices([0, 1, 2], [0.2, 0.4, 0.4])[0]
+
+    await load.run(5.0, 2 * load.capacity, offer)
+    load.reset()
+    await load.run(60.0, 2 * load.capacity, offer)
+    assert sum(load.served.values()) / 60.0 >= least * load.capacity
+    assert not load.invariants.violations
