--- a/src/heathermount/standins/measure.py
+++ b/src/heathermount/standins/measure.py
@@ -20,6 +20,7 @@
 from heathermount.standins.fleets import CANCELLI, KETTERING, FleetDescription
 from heathermount.standins.measurement_page import write_page
 from heathermount.standins.policy_runs import append_line, run_policy
+from heathermount.standins.profiles import ProfileResult, measure_profile
 from heathermount.standins.scenarios import SCENARIOS, VARIANTS, Scenario
 
 __all__ = ["MeasureSettings", "main", "run", "run_measurements"]
@@ -28,7 +29,8 @@
 ROOT: Final = Path(__file__).resolve().parents[3]
 LATENCY_S: Final = 20.0
 QUICK_S: Final = 5.0
-PARTS: Final = ("latency", "policy", "page")
+PROFILE_S: Final = 10.0
+PARTS: Final = ("latency", "profile", "policy", "page")
 FLEETS: Final = (KETTERING, CANCELLI)
 QUICK_SCENARIOS: Final = ("overload", "slow")
 QUICK_VARIANTS: Final = ("none", "fixed", "all", "less fair_queueing")
@@ -57,6 +59,10 @@
             result: CostResult = uvloop.run(measure_costs(seed, seconds, revision))
             append_line(data / "latency.jsonl", result)
             print(msgspec.json.encode(result).decode(), flush=True)
+    if "profile" in settings.only:
+        profile: ProfileResult = uvloop.run(measure_profile(1, PROFILE_S, revision))
+        append_line(data / "profile.jsonl", profile)
+        print(msgspec.json.encode(profile).decode(), flush=True)
     if "policy" in settings.only:
         measure_policy(settings, data / "policy.jsonl", revision, seeds)
     if "page" in settings.only:
--- a/src/heathermount/standins/measurement_page.py
+++ b/src/heathermount/standins/measurement_page.py
@@ -15,7 +15,9 @@
 
 from heathermount.standins.costs import CostResult
 from heathermount.standins.fleets import CANCELLI, KETTERING
-from heathermount.standins.policy_runs import SLOT_FACTOR, TIME_FACTOR, PolicyResult
+from heathermount.standins.policy_figures import PolicyResult
+from heathermount.standins.policy_runs import SLOT_FACTOR, TIME_FACTOR
+from heathermount.standins.profiles import ProfileResult
 from heathermount.standins.records import read_lines
 from heathermount.standins.scenarios import SCENARIOS, VARIANTS
 
@@ -66,6 +68,8 @@
         capacity=describe_capacity(results),
         latency=render_latency(costs),
         costs=render_costs(costs),
+        profile=render_profile(read_profiles(directory)),
+        missing=render_missing(costs),
         targets=render_targets(results),
         policy=render_policy(results),
         history=render_history(results),
@@ -85,6 +89,10 @@
     return read_data(directory / "measurements" / "policy.jsonl", PolicyResult)
 
 
+def read_profiles(directory: Path) -> list[ProfileResult]:
+    return read_data(directory / "measurements" / "profile.jsonl", ProfileResult)
+
+
 def read_data(path: Path, kind: type[Record]) -> list[Record]:
     return list(read_lines(path, kind)) if path.exists() else []
 
@@ -142,6 +150,38 @@
     return make_table((*heads, *added), rows)
 
 
+def render_profile(profiles: Sequence[ProfileResult]) -> str:
+    """Tabulate the last profile: part → share of time at each node."""
+    if not profiles:
+        return "No profile was taken."
+    last = profiles[-1]
+    parts = sorted({part for shares in last.shares.values() for part in shares})
+    rows = [
+        (part, *(percent(shares.get(part, 0.0)) for shares in last.shares.values()))
+        for part in parts
+    ]
+    calls = (percent(share) for share in last.server_call.values())
+    rows.append(("call to the server, share of an execution", *calls))
+    return make_table(("part", *last.shares), rows)
+
+
+def render_missing(costs: Sequence[CostResult]) -> str:
+    """State how far the added latency is from the target."""
+    if not costs:
+        return "Not measured."
+    added = [
+        median(c.paths[position].p99_ms - c.paths[0].p99_ms for c in costs)
+        for position in (1, 2)
+    ]
+    if max(added) <= TARGET_ADDED_MS:
+        return "The target is met."
+    factors = " and ".join(f"{value / TARGET_ADDED_MS:.0f}" for value in added)
+    return (
+        f"The target is not met: one and two nodes add {factors} times "
+        f"{TARGET_ADDED_MS} ms at p99."
+    )
+
+
 def render_costs(costs: Sequence[CostResult]) -> str:
     idle = [node for cost in costs for node in cost.idle_nodes]
     loaded = [node for cost in costs for node in cost.nodes]
--- /dev/null
+++ b/src/heathermount/standins/profiles.py
@@ -0,0 +1,132 @@
+"""Profile of the nodes' processor time under the load of the latency stand-in."""
+
+import os
+import pstats
+import sys
+from collections import defaultdict
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+import msgspec
+
+from heathermount.standins.fleet import Fleet
+from heathermount.standins.latency import (
+    LATENCY_FLEET,
+    Path as CallPath,
+    run_paths,
+)
+from heathermount.standins.processes import ManagedProcess
+
+__all__ = ["ProfileResult", "measure_profile"]
+
+# Directory of a source file → part of the node; the first match counts.
+PARTS: Final = (
+    ("/httpcore/", "HTTP client (httpcore, h11)"),
+    ("/h11/", "HTTP client (httpcore, h11)"),
+    ("/uvicorn/", "HTTP server (uvicorn)"),
+    ("/anyio/", "anyio and asyncio"),
+    ("/asyncio/", "anyio and asyncio"),
+    ("/sniffio/", "anyio and asyncio"),
+    ("/heathermount/wire/", "links between nodes"),
+    ("/heathermount/", "heathermount"),
+)
+OTHER: Final = "built-in functions and others"
+# Start-up work, which is no part of a call.
+IGNORED: Final = ("importlib", "built-in method builtins.compile", "/prometheus")
+
+
+class ProfileResult(msgspec.Struct, kw_only=True):
+    """Shares of the profiled time of each node, start-up excluded."""
+
+    seed: int
+    revision: str
+    load_average: float
+    calls: int
+    # Node → part → share of the time that functions themselves took.
+    shares: dict[str, dict[str, float]]
+    # Node → share of an execution that the call to the backend server takes.
+    server_call: dict[str, float]
+
+
+class ProfiledFleet(Fleet):
+    """Runs the nodes, not the stand-ins, under cProfile."""
+
+    __slots__ = ()
+
+    def _add_process(self, name: str, module: str, flag: str) -> None:
+        super()._add_process(name, module, flag)
+        if name in self.members:
+            output = str(self.profile_path(name))
+            options = ["-m", "cProfile", "-o", output, "-m", module, flag]
+            command = [sys.executable, *options]
+            self.processes[name] = ManagedProcess(name, command, self.directory)
+
+    def profile_path(self, name: str) -> Path:
+        return self.directory / f"{name}.profile"
+
+
+async def measure_profile(seed: int, seconds: float, revision: str) -> ProfileResult:
+    """Profile the nodes of the one-node and two-node paths."""
+    async with ProfiledFleet(LATENCY_FLEET, seed) as fleet:
+        key = [(b"authorization", b"Bearer " + fleet.keys["shop-1"].encode())]
+        entry = fleet.members["front-1"].callers
+        paths = [
+            CallPath("one-node", entry, "/front/near", key),
+            CallPath("two-nodes", entry, "/back/far", key),
+        ]
+        await run_paths(paths, seconds, Random(seed))
+        shares: dict[str, dict[str, float]] = {}
+        server_call: dict[str, float] = {}
+        for name in fleet.members:
+            await fleet.terminate(name)
+            stats: Any = pstats.Stats(str(fleet.profile_path(name)))
+            shares[name] = share_by_part(stats.stats)
+            server_call[name] = share_of_server_call(stats.stats)
+    return ProfileResult(
+        seed=seed,
+        revision=revision,
+        load_average=round(os.getloadavg()[0], 1),
+        calls=sum(path.result().calls for path in paths),
+        shares=shares,
+        server_call=server_call,
+    )
+
+
+def share_by_part(stats: dict[tuple[str, int, str], Any]) -> dict[str, float]:
+    """Return each part's share of the time in functions themselves."""
+    times: defaultdict[str, float] = defaultdict(float)
+    for (file, _, function), entry in stats.items():
+        place = f"{file} {function}"
+        if any(name in place for name in IGNORED):
+            continue
+        # Waiting for events is inside of the event loop's run method.
+        if "uvloop" in place or "run_until_complete" in place:
+            continue
+        times[find_part(file)] += entry[2]
+    total = sum(times.values())
+    return {part: round(spent / total, 4) for part, spent in sorted(times.items())}
+
+
+def find_part(file: str) -> str:
+    for directory, part in PARTS:
+        if directory in file:
+            return part
+    return OTHER
+
+
+def share_of_server_call(stats: dict[tuple[str, int, str], Any]) -> float:
+    """Return the server call's share of the executing node's part of a call."""
+    called = cumulative(stats, "node/server.py", "call")
+    executed = cumulative(stats, "node/executor.py", "execute")
+    return round(called / executed, 4) if executed else 0.0
+
+
+def cumulative(
+    stats: dict[tuple[str, int, str], Any], file: str, function: str
+) -> float:
+    return sum(
+        float(entry[3])
+        for (path, _, name), entry in stats.items()
+        if path.endswith(file) and name == function
+    )
--- a/src/heathermount/standins/scenarios.py
+++ b/src/heathermount/standins/scenarios.py
@@ -9,6 +9,7 @@
 __all__ = [
     "MECHANISMS",
     "SCENARIOS",
+    "SLOWDOWN",
     "VARIANTS",
     "Scenario",
     "make_overrides",
@@ -22,6 +23,9 @@
     "adaptive_limit",
 )
 
+# Service times of a slowed service are multiplied by this.
+SLOWDOWN: Final = 5.0
+
 PLAIN_RETRIES: Final = RetrySettings(limit=1, delay_s=0.2)
 HARD_RETRIES: Final = RetrySettings(
     limit=4,
--- a/tests/test_few_slots.py
+++ b/tests/test_few_slots.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import pytest
+
 from builders_policy import Workload
 
 pytestmark = pytest.mark.anyio
