Let the declaration set the number of quota partitions

Conclusion: an operator can follow the load without more store writes than one for each partition and 40 s.

--- a/src/heathermount/cli/reference.py
+++ b/src/heathermount/cli/reference.py
@@ -205,6 +205,13 @@
                 "",
                 "is empty, or a method is not in capitals",
             ),
+            "quota_partitions": Note(
+                "Partitions of the organisations' limits in each failure domain; "
+                "one for each 100 calls/s that enter the domain. A new partition "
+                "starts with full buckets, so change it while traffic is low.",
+                "",
+                "is not from 1 to 512",
+            ),
             "retention_s": Note(
                 "Time for which idempotency keys and responses are held.",
                 "s",
--- a/src/heathermount/config/declaration.py
+++ b/src/heathermount/config/declaration.py
@@ -41,6 +41,9 @@
 CALL_FIELDS: Final = ("importance", "repeatable", "deadline_ms", "extra_attempts")
 EFFECT_FIELDS: Final = (*CALL_FIELDS, *SHARE_FIELDS)
 
+# Each is one write to the store every 40 s in each failure domain.
+MAX_QUOTA_PARTITIONS: Final = 512
+
 
 class DefaultsTable(msgspec.Struct, kw_only=True):
     """Fleet-wide defaults; rates in calls per second and organisation."""
@@ -55,6 +58,7 @@
     rate: float = 100.0
     burst: float = 200.0
     weight: int = 1
+    quota_partitions: int = 8
     objective: str = "balanced"
 
 
@@ -192,6 +196,12 @@
         self.check_effects("defaults", table)
         if table.retention_s <= 0:
             self.add("defaults.retention_s", "is not above zero", "raise it")
+        if not 1 <= table.quota_partitions <= MAX_QUOTA_PARTITIONS:
+            self.add(
+                "defaults.quota_partitions",
+                f"is {table.quota_partitions}",
+                f"set it from 1 to {MAX_QUOTA_PARTITIONS}",
+            )
         if table.objective not in OBJECTIVES:
             self.add(
                 "defaults.objective",
--- a/src/heathermount/config/policy.py
+++ b/src/heathermount/config/policy.py
@@ -145,6 +145,7 @@
         "failure_domains",
         "objective",
         "organisations",
+        "quota_partitions",
         "retention_s",
         "revision",
         "routes",
@@ -168,6 +169,7 @@
         self.objective = defaults.objective
         self.organisations = organisations
         self.retention_s = defaults.retention_s
+        self.quota_partitions = defaults.quota_partitions
         self.routes = routes
         self.services = sorted({route.service for route in routes})
         self._defaults = defaults
--- a/src/heathermount/node/assembly.py
+++ b/src/heathermount/node/assembly.py
@@ -198,6 +198,7 @@
         parts.clock,
         parts.invariants,
         tasks,
+        parts.owned.count_quota_partitions,
     )
     return Entry(
         parts,
--- a/src/heathermount/node/owners.py
+++ b/src/heathermount/node/owners.py
@@ -5,7 +5,6 @@
 import anyio
 
 from heathermount.errors import HeathermountError
-from heathermount.node.partitions import QUOTA_PARTITIONS
 from heathermount.node.parts import Parts
 from heathermount.ownership import NodeIdentity, OwnerRecord, OwnershipManager
 from heathermount.quota import partition_of
@@ -56,7 +55,7 @@
         if policy is None or domain not in policy.failure_domains:
             return []
         names = {
-            partition_of(organisation, domain, QUOTA_PARTITIONS)
+            partition_of(organisation, domain, policy.quota_partitions)
             for organisation in policy.organisations
         }
         return sorted(names)
--- a/src/heathermount/node/partitions.py
+++ b/src/heathermount/node/partitions.py
@@ -26,8 +26,9 @@
     "OwnedPartitions",
 ]
 
-# A fixed number for each failure domain, so that renewals do not grow with the
-# fleet: 8 partitions renewed every 40 s in 4 domains are 0.8 writes a second.
+# Default for each failure domain. The number is set in the declaration and does
+# not grow with the fleet: 8 partitions renewed every 40 s in 4 domains are 0.8
+# writes a second.
 QUOTA_PARTITIONS: Final = 8
 CLAIM_SLOTS: Final = 2
 # Services whose nodes may own a quota partition.
@@ -102,7 +103,7 @@
         partitions = [
             name
             for domain in policy.failure_domains
-            for name in (f"quota/{domain}/{n}" for n in range(QUOTA_PARTITIONS))
+            for name in (f"quota/{domain}/{n}" for n in range(policy.quota_partitions))
             if service in self.home_services(name)
         ]
         if service in policy.services_with_claims:
@@ -130,6 +131,11 @@
         policy = self._tracker.policy
         return policy.retention_s if policy is not None else DEFAULT_RETENTION_S
 
+    def count_quota_partitions(self) -> int:
+        """Return how many quota partitions each failure domain has."""
+        policy = self._tracker.policy
+        return policy.quota_partitions if policy is not None else QUOTA_PARTITIONS
+
     def find_domains(self) -> Sequence[str]:
         policy = self._tracker.policy
         return policy.failure_domains if policy is not None else ()
--- a/src/heathermount/quota/client.py
+++ b/src/heathermount/quota/client.py
@@ -64,7 +64,7 @@
         "_lines",
         "_mailbox",
         "_max_wait_s",
-        "_partitions",
+        "_count_partitions",
         "_unreachable_until",
         "wallet",
     )
@@ -79,7 +79,7 @@
         clock: Clock,
         invariants: Invariants,
         tasks: TaskGroup,
-        partitions: int = PARTITIONS,
+        count_partitions: Callable[[], int] = lambda: PARTITIONS,
         max_wait_s: float = WAIT_S,
     ) -> None:
         self.wallet = Wallet(clock, invariants)
@@ -87,7 +87,7 @@
         self._find_allotment = find_allotment
         self._find_domains = find_domains
         self._clock = clock
-        self._partitions = partitions
+        self._count_partitions = count_partitions
         self._max_wait_s = max_wait_s
         self._mailbox = Mailbox(
             owners, ask, clock, tasks, self._settle, self._count_wanted
@@ -107,11 +107,13 @@
         clock: Clock,
         invariants: Invariants,
         tasks: TaskGroup,
+        count_partitions: Callable[[], int] = lambda: PARTITIONS,
     ) -> Self:
         """Make a client for a node in failure domain `domain`.
 
         `find_allotment` returns an organisation's rate and burst now, and
-        `find_domains` the declared failure domains.
+        `find_domains` the declared failure domains, `count_partitions` the
+        declared number of partitions in each.
         """
         return cls(
             domain,
@@ -122,6 +124,7 @@
             clock,
             invariants,
             tasks,
+            count_partitions=count_partitions,
         )
 
     @property
@@ -181,7 +184,7 @@
         return share_domains(organisation, allotment, self._find_domains())
 
     def _partition(self, organisation: str, domain: str) -> str:
-        return partition_of(organisation, domain, self._partitions)
+        return partition_of(organisation, domain, self._count_partitions())
 
     def _prefetch(self, organisation: str) -> None:
         if not self.wallet.low(organisation):
