Assert the guarantees where requests reach the backend server

Cause: several guarantees were checked by tests and by the soak run's records only. Change: invariants in the executor: no new work after a drain, no quarantined request runs, no key at the backend server, attempts within the allowance, and a refusal that says not-run for a request that may have been sent. Conclusion: each guarantee now has a check inside the program.

--- a/src/heathermount/node/calls.py
+++ b/src/heathermount/node/calls.py
@@ -122,7 +122,15 @@
 class CallContext:
     """A request that runs at this node's backend server."""
 
-    __slots__ = ("deadline", "ledger", "message", "permit", "retried", "thresholds")
+    __slots__ = (
+        "deadline",
+        "ledger",
+        "message",
+        "permit",
+        "retried",
+        "sent",
+        "thresholds",
+    )
 
     def __init__(self, message: Execute, deadline: float) -> None:
         self.message = message
@@ -132,6 +140,8 @@
         # Set while the request runs at the backend server.
         self.permit: Permit | None = None
         self.retried = False
+        # True while the request may have reached the backend server.
+        self.sent = False
 
     def note(self, thresholds: list[ServiceThreshold]) -> None:
         """Remember thresholds of services below, the strictest of each."""
--- a/src/heathermount/node/executor.py
+++ b/src/heathermount/node/executor.py
@@ -27,7 +27,13 @@
     ServerUnreachable,
 )
 from heathermount.routing import Member, trial_member
-from heathermount.values import Load, Outcome, Reason, ServiceThreshold
+from heathermount.values import (
+    INTERNAL_ORGANISATION,
+    Load,
+    Outcome,
+    Reason,
+    ServiceThreshold,
+)
 from heathermount.wire.messages import Answer, Execute, QuarantineNotice, Suspicion
 
 __all__ = ["Announcement", "Executor"]
@@ -37,6 +43,10 @@
 NOT_RUN_HEADER: Final = b"heathermount-not-run"
 # Allowed difference between the clocks of two instances, in seconds.
 MAX_SKEW_S: Final = 2.0
+# A leaving backend server gets no new work after this long, in seconds; requests
+# that were queued when the drain began may still run until then.
+DRAIN_LIMIT_S: Final = 3.0
+KEY_HEADERS: Final = frozenset({b"authorization", b"x-api-key"})
 
 
 class Announcement:
@@ -78,6 +88,8 @@
 
     __slots__ = (
         "_clock",
+        "_draining",
+        "_draining_since",
         "_events",
         "_parts",
         "_roster",
@@ -90,7 +102,6 @@
         "admission",
         "announcement",
         "contexts",
-        "draining",
         "quarantine",
         "reachable",
     )
@@ -117,11 +128,23 @@
         # crash and is lost again counts twice.
         self._server_name = ""
         self.contexts = parts.contexts
-        self.draining = False
+        self._draining = False
+        self._draining_since = 0.0
         self.quarantine = parts.quarantine
         # False after a refused connection until the server is reached again.
         self.reachable = True
 
+    @property
+    def draining(self) -> bool:
+        """Whether the backend server gets no new work."""
+        return self._draining
+
+    @draining.setter
+    def draining(self, draining: bool) -> None:
+        if draining and not self._draining:
+            self._draining_since = self._clock.monotonic()
+        self._draining = draining
+
     def load(self) -> Load:
         return self.admission.load() if self.admission is not None else Load()
 
@@ -198,7 +221,19 @@
         return answer
 
     def _describe(self, answer: Answer, message: Execute, context: CallContext) -> None:
-        answer.spent = message.allowance - context.ledger.remaining
+        invariants = self._parts.invariants
+        answer.spent = context.ledger.spent
+        invariants.check(
+            0 <= answer.spent <= message.allowance,
+            "attempts-within-allowance",
+            root=message.root,
+        )
+        invariants.check(
+            answer.outcome != Outcome.NOT_RUN or not context.sent,
+            "not-run-is-true",
+            root=message.root,
+            reason=answer.reason,
+        )
         answer.retried = context.retried
         answer.revision = self._tracker.revision
         answer.roster_revision = self._roster().revision
@@ -303,11 +338,13 @@
     ) -> Answer:
         if self._server is None:
             raise RuntimeError("a permit was given without a backend server")
+        self._check_before_run(message)
         context.permit = permit
         token = self.contexts.add(context)
         started = self._clock.monotonic()
         result = RunResult.CANCELLED
         answer: ServerAnswer | None = None
+        context.sent = True
         try:
             with anyio.move_on_after(context.deadline - self._clock.monotonic()):
                 answer = await self._server.call(
@@ -321,6 +358,7 @@
                 raise make_refusal(Reason.DEADLINE, Outcome.UNKNOWN)
             result = judge(answer)
             if result is RunResult.SHED_BY_SERVER:
+                context.sent = False
                 raise make_refusal(Reason.SHED, Outcome.NOT_RUN, retry_after_s=1.0)
             return Answer(
                 answer.status,
@@ -331,6 +369,7 @@
             )
         except ServerUnreachable:
             result = RunResult.FAILED
+            context.sent = False
             self.reachable = False
             raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN) from None
         except ServerBroke as broke:
@@ -349,6 +388,31 @@
             context.permit = None
             admission.release(permit, result)
 
+    def _check_before_run(self, message: Execute) -> None:
+        """Assert what must hold whenever a request reaches the backend server."""
+        check = self._parts.invariants.check
+        drained_s = self._clock.monotonic() - self._draining_since
+        check(
+            not self.draining or drained_s < DRAIN_LIMIT_S,
+            "no-new-work-after-drain",
+            root=message.root,
+        )
+        check(
+            not self.quarantine.blocked(message.fingerprint),
+            "quarantined-request-not-run",
+            root=message.root,
+        )
+        check(
+            not any(name in KEY_HEADERS for name, _ in message.headers),
+            "no-key-at-backend-server",
+            root=message.root,
+        )
+        check(
+            not message.key_id or message.organisation != INTERNAL_ORGANISATION,
+            "key-belongs-to-an-organisation",
+            root=message.root,
+        )
+
     async def _suspect(self, message: Execute) -> Answer:
         """Share the suspicion before anyone can send the request again."""
         suspicions = self.quarantine.suspect(message.fingerprint, self._server_name)
--- a/src/heathermount/ownership/manager.py
+++ b/src/heathermount/ownership/manager.py
@@ -29,7 +29,7 @@
 
 __all__ = ["OwnershipManager"]
 
-TICK_S: Final = 0.1
+TICK_S: Final = 0.25
 RETRY_S: Final = 1.0
 
 
