--- a/src/heathermount/standins/capacity_limits.py
+++ b/src/heathermount/standins/capacity_limits.py
@@ -135,7 +135,13 @@
         "per_s",
         "–",
     ),
-    Limit("time of a fleet-wide start at the store", "start_s", 60.0, "s", PACE),
+    Limit(
+        "time of a fleet-wide start at the store's limits (no requirement: a minute)",
+        "start_s",
+        60.0,
+        "s",
+        PACE,
+    ),
 )
 
 
