--- a/src/heathermount/standins/policy_figures.py
+++ b/src/heathermount/standins/policy_figures.py
@@ -114,7 +114,9 @@
     first, last = scenario.start_s + SETTLE_S, scenario.end_s
     during = [r for r in requests if first <= r.at_s < last]
     demand = count_rates(during, last - first)
-    entitled = share_capacity(disturb_model(fleet, scenario), demand)
+    entitled = share_capacity(
+        disturb_model(fleet, scenario), limit_to_rates(fleet, demand)
+    )
     answered = [
         r for r in requests if r.succeeded and first <= r.at_s + r.latency_s < last
     ]
@@ -141,7 +143,14 @@
         recovery_s=find_recovery(requests, scenario, success_share(before)),
         worst_ratio=round(ratio, 4),
         worst_organisation=organisation,
-        wrongful_429=round(wrongful_share(fleet, results, len(of_within)), 5),
+        wrongful_429=round(
+            wrongful_share(
+                fleet,
+                [r for r in results if r.organisation in within],
+                len(of_within),
+            ),
+            5,
+        ),
         refused_503=round(
             sum(r.last.status == 503 and not r.succeeded for r in of_within)
             / max(1, len(of_within)),
@@ -229,6 +238,20 @@
     return {key: count / seconds for key, count in counts.items()}
 
 
+def limit_to_rates(
+    fleet: FleetDescription, demand: Mapping[tuple[str, str, str], float]
+) -> dict[tuple[str, str, str], float]:
+    """Reduce each organisation's demand to its declared rate."""
+    totals: defaultdict[str, float] = defaultdict(float)
+    for (organisation, _, _), rate in demand.items():
+        totals[organisation] += rate
+    allowed = {o.name: o.rate for o in fleet.organisations}
+    return {
+        key: rate * min(1.0, allowed[key[0]] / totals[key[0]])
+        for key, rate in demand.items()
+    }
+
+
 def sum_organisations(
     rates: Mapping[tuple[str, str, str], float],
 ) -> dict[tuple[str, str], float]:
