Tell requests, origins and calls apart, and retry proven requests

Change: HttpRequest, Origin and Call with one constructor; announcements in a module of their own; a repeatable request whose fingerprint completed at the entry node is retried after a lost server, within allowance and budget. Conclusion: same behaviour otherwise; goodput during server losses is measured next.

--- a/src/heathermount/node/callers.py
+++ b/src/heathermount/node/callers.py
@@ -9,6 +9,7 @@
 from heathermount.node.entry import Entry
 from heathermount.node.http import (
     CallerLeft,
+    HttpRequest,
     Receive,
     Scope,
     Send,
@@ -16,7 +17,6 @@
     read_body,
     send_ran,
     send_refusal,
-    target_of,
 )
 from heathermount.node.metrics import Metrics
 from heathermount.wire.messages import Answer
@@ -68,10 +68,4 @@
         await send_ran(send, answer, self.closing)
 
     async def _call(self, scope: Scope, body: bytes) -> Answer:
-        return await self._entry.call_from_caller(
-            scope["method"],
-            scope["path"],
-            target_of(scope),
-            scope["headers"],
-            body,
-        )
+        return await self._entry.call_from_caller(HttpRequest.from_scope(scope, body))
--- a/src/heathermount/node/calls.py
+++ b/src/heathermount/node/calls.py
@@ -6,40 +6,33 @@
 
 from heathermount.admission import Permit
 from heathermount.clocks import Clock
-from heathermount.routing import AttemptLedger
+from heathermount.config.policy import Route, Treatment
+from heathermount.node.http import HttpRequest, passed_headers
+from heathermount.routing import AttemptLedger, fingerprint
 from heathermount.values import ServiceThreshold
 from heathermount.wire.messages import Execute
 
-__all__ = ["Call", "CallContext", "ContextTable"]
+__all__ = ["Call", "CallContext", "ContextTable", "Origin"]
 
 # A finished request's context stays valid this long for calls that it started
 # before it answered, in seconds.
 LINGER_S: Final = 1.0
 
 
-class Call:
-    """One call on its way from the node it entered to a backend server."""
+class Origin:
+    """On whose behalf a call runs: what it inherits from its root request."""
 
     __slots__ = (
-        "body",
         "cohort",
         "deadline",
         "depth",
-        "fingerprint",
-        "headers",
-        "idempotency_key",
         "importance",
         "key_id",
         "ledger",
-        "method",
         "note",
         "organisation",
-        "repeatable",
         "resend",
         "root",
-        "route",
-        "service",
-        "target",
         "weight",
     )
 
@@ -47,74 +40,95 @@
         self,
         *,
         root: str,
-        service: str,
-        route: str,
-        method: str,
-        target: str,
-        headers: list[tuple[bytes, bytes]],
-        body: bytes,
         organisation: str,
         key_id: str,
         importance: int,
         cohort: int,
         weight: int,
+        depth: int,
         deadline: float,
         ledger: AttemptLedger,
-        depth: int,
-        fingerprint: bytes,
-        repeatable: bool,
-        idempotency_key: str,
         note: Callable[[list[ServiceThreshold]], None],
         resend: bool = False,
     ) -> None:
         self.root = root
-        self.service = service
-        self.route = route
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
         self.organisation = organisation
         self.key_id = key_id
         self.importance = importance
         self.cohort = cohort
         self.weight = weight
+        self.depth = depth
         # Monotonic time after which nobody waits for the answer.
         self.deadline = deadline
         self.ledger = ledger
-        self.depth = depth
-        self.fingerprint = fingerprint
-        self.repeatable = repeatable
-        self.idempotency_key = idempotency_key
         # Takes the thresholds of each answer, also of refusals.
         self.note = note
         self.resend = resend
 
+
+class Call:
+    """One call on its way from the node it entered to a backend server."""
+
+    __slots__ = (
+        "body",
+        "fingerprint",
+        "headers",
+        "idempotency_key",
+        "method",
+        "origin",
+        "repeatable",
+        "route",
+        "service",
+        "target",
+    )
+
+    def __init__(
+        self,
+        request: HttpRequest,
+        route: Route,
+        treatment: Treatment,
+        origin: Origin,
+        idempotency_key: str,
+    ) -> None:
+        self.service = route.service
+        self.route = route.name
+        self.method = request.method
+        self.target = request.target
+        self.headers = passed_headers(request.headers)
+        self.body = request.body
+        self.repeatable = treatment.repeatable
+        self.origin = origin
+        self.idempotency_key = idempotency_key
+        self.fingerprint = fingerprint(
+            origin.organisation, request.method, request.target, request.body
+        )
+
     def to_message(
         self, now: float, wall: float, allowance: int, revision: int
     ) -> Execute:
         """Return the message for one attempt."""
+        origin = self.origin
         return Execute(
             call_id=secrets.token_bytes(16),
-            root=self.root,
+            root=origin.root,
             service=self.service,
             route=self.route,
             method=self.method,
             target=self.target,
             headers=self.headers,
             body=self.body,
-            organisation=self.organisation,
-            key_id=self.key_id,
-            importance=self.importance,
-            cohort=self.cohort,
-            weight=self.weight,
-            deadline_s=self.deadline - now,
+            organisation=origin.organisation,
+            key_id=origin.key_id,
+            importance=origin.importance,
+            cohort=origin.cohort,
+            weight=origin.weight,
+            deadline_s=origin.deadline - now,
             sent_at=wall,
             allowance=allowance,
-            depth=self.depth,
+            depth=origin.depth,
             fingerprint=self.fingerprint,
             repeatable=self.repeatable,
-            resend=self.resend,
+            resend=origin.resend,
             revision=revision,
         )
 
--- a/src/heathermount/node/claiming.py
+++ b/src/heathermount/node/claiming.py
@@ -54,11 +54,11 @@
         ).digest()[:16]
         reply = await self._claims.claim(
             call.service,
-            call.organisation,
+            call.origin.organisation,
             call.idempotency_key,
             call_id,
             digest,
-            call.deadline,
+            call.origin.deadline,
         )
         self._metrics.count_claim(reply.state)
         if reply.state != "granted":
--- a/src/heathermount/node/dispatcher.py
+++ b/src/heathermount/node/dispatcher.py
@@ -90,7 +90,7 @@
         """Return the backend server's answer; raise Refusal when there is none."""
         attempts = Attempts()
         while True:
-            if self._clock.monotonic() >= call.deadline:
+            if self._clock.monotonic() >= call.origin.deadline:
                 raise deadline_passed(attempts.outcome)
             if self._quarantine.blocked(call.fingerprint):
                 raise make_refusal(Reason.QUARANTINED, attempts.outcome)
@@ -98,6 +98,7 @@
             self._metrics.count_call(call.service, answer.outcome, answer.reason)
             if not answer.reason:
                 self._budget.succeeded(call.service)
+                self._quarantine.completed(call.fingerprint)
                 return answer
             if not self._may_retry(call, answer, attempts):
                 raise self._final(answer, attempts)
@@ -106,7 +107,7 @@
         await self._routes.ensure(call.service)
         member = self._choose(call, attempts)
         attempts.tried.add(member.node)
-        allowance = call.ledger.lend()
+        allowance = call.origin.ledger.lend()
         message = call.to_message(
             self._clock.monotonic(),
             self._clock.wall(),
@@ -118,12 +119,14 @@
         try:
             answer = await self._send(member, message)
         finally:
-            call.ledger.settle(allowance, answer.spent if answer is not None else None)
+            call.origin.ledger.settle(
+                allowance, answer.spent if answer is not None else None
+            )
             self._balancer.finished(
                 member, judge(answer), answer.load if answer is not None else None
             )
         self._seen(call.service, member, answer)
-        call.note(answer.thresholds)
+        call.origin.note(answer.thresholds)
         if answer.outcome != Outcome.NOT_RUN:
             attempts.maybe_ran = True
         return answer
@@ -156,7 +159,10 @@
         return answer
 
     def _may_retry(self, call: Call, answer: Answer, attempts: Attempts) -> bool:
-        if answer.outcome == Outcome.RAN or answer.crashed:
+        if answer.outcome == Outcome.RAN:
+            return False
+        if answer.crashed and not self._quarantine.proven(call.fingerprint):
+            # It may be what the server crashed on.
             return False
         if answer.outcome == Outcome.UNKNOWN and not self._repeats(call, answer):
             return False
@@ -175,9 +181,9 @@
         if not self._policy.chain_retries:
             attempts.plain -= 1
             return attempts.plain >= 0
-        if answer.retried or call.ledger.remaining == 0:
+        if answer.retried or call.origin.ledger.remaining == 0:
             return False
-        return self._budget.take(call.service) and call.ledger.take()
+        return self._budget.take(call.service) and call.origin.ledger.take()
 
     def _repeats(self, call: Call, answer: Answer) -> bool:
         """Tell whether a request that may have run may be sent again."""
--- a/src/heathermount/node/entry.py
+++ b/src/heathermount/node/entry.py
@@ -4,17 +4,17 @@
 from functools import partial
 
 from heathermount.admission import FairCohorts, ThresholdTable
-from heathermount.config.policy import Policy, Route, Treatment
+from heathermount.config.policy import Policy, Route
 from heathermount.errors import Refusal
-from heathermount.node.calls import Call, CallContext
+from heathermount.node.calls import Call, CallContext, Origin
 from heathermount.node.claiming import ClaimedCalls
 from heathermount.node.dispatcher import Dispatcher
-from heathermount.node.http import find_header, passed_headers
+from heathermount.node.http import HttpRequest, find_header
 from heathermount.node.identifiers import cohort_of, derive_key, make_root
 from heathermount.node.parts import Parts
 from heathermount.node.refusals import make_refusal
 from heathermount.quota import QuotaClient
-from heathermount.routing import AttemptLedger, ResendTracker, fingerprint
+from heathermount.routing import AttemptLedger, ResendTracker
 from heathermount.values import (
     INTERNAL_ORGANISATION,
     Importance,
@@ -62,54 +62,44 @@
         self._fair_cohorts = FairCohorts(parts.clock)
         self._metrics = parts.metrics
 
-    async def call_from_caller(
-        self, method: str, path: str, target: str, headers: Headers, body: bytes
-    ) -> Answer:
+    async def call_from_caller(self, request: HttpRequest) -> Answer:
         """Run a caller's request; raise Refusal when it is not answered."""
         started = self._clock.monotonic()
-        answer = await self._call(method, path, target, headers, body)
+        answer = await self._enter(self._authenticate(request))
         self._metrics.observe_call(self._clock.monotonic() - started, answer.server_s)
         return answer
 
-    async def _call(
-        self, method: str, path: str, target: str, headers: Headers, body: bytes
-    ) -> Answer:
+    def _authenticate(self, request: HttpRequest) -> Call:
+        """Return the call of the organisation whose key came with the request."""
         policy = self._current_policy()
         if not self._tracker.fresh():
             raise make_refusal(Reason.CONFIGURATION_STALE, Outcome.NOT_RUN)
-        owner = policy.authenticate(find_key(headers))
-        route = policy.match(method, path)
+        owner = policy.authenticate(find_key(request.headers))
+        route = policy.match(request.method, request.path)
         if route is None or not route.open:
             raise make_refusal(Reason.ROUTE_UNKNOWN, Outcome.NOT_RUN)
-        treatment = policy.classify(route, owner.organisation, method)
-        weight = policy.allotment(owner.organisation).weight
+        organisation = owner.organisation
+        treatment = policy.classify(route, organisation, request.method)
+        weight = policy.allotment(organisation).weight
         root = make_root(self._clock.wall())
-        call = Call(
+        origin = Origin(
             root=root,
-            service=route.service,
-            route=route.name,
-            method=method,
-            target=target,
-            headers=passed_headers(headers),
-            body=body,
-            organisation=owner.organisation,
+            organisation=organisation,
             key_id=owner.key_id,
             importance=treatment.importance,
             cohort=self._choose_cohort(
-                root, owner.organisation, weight, treatment.importance
+                root, organisation, weight, treatment.importance
             ),
             weight=weight,
+            depth=1,
             deadline=self._clock.monotonic() + treatment.deadline_s,
             ledger=AttemptLedger(treatment.extra_attempts),
-            depth=1,
-            fingerprint=fingerprint(owner.organisation, method, target, body),
-            repeatable=treatment.repeatable,
-            idempotency_key=find_header(headers, b"idempotency-key"),
             note=partial(self._thresholds.observe, route.name),
         )
-        if not call.repeatable and not call.idempotency_key:
+        key = find_header(request.headers, b"idempotency-key")
+        if not treatment.repeatable and not key:
             raise make_refusal(Reason.IDEMPOTENCY_KEY_REQUIRED, Outcome.NOT_RUN)
-        return await self._enter(call)
+        return Call(request, route, treatment, origin, key)
 
     async def _enter(self, call: Call) -> Answer:
         # Equal requests of two callers may expect different answers (one may
@@ -124,7 +114,7 @@
             if shared is not None:
                 return shared
             arrival = self._resends.rejoin(arrival)
-        call.resend = arrival.resend
+        call.origin.resend = arrival.resend
         result: Answer | Refusal | None = None
         try:
             result = await self._charge_and_run(call)
@@ -138,7 +128,7 @@
     async def _charge_and_run(self, call: Call) -> Answer:
         self._reject_early(call)
         token = await self._quota.acquire(
-            call.organisation, call.deadline - self._clock.monotonic()
+            call.origin.organisation, call.origin.deadline - self._clock.monotonic()
         )
         self._metrics.count_tokens("spent")
         try:
@@ -150,23 +140,20 @@
             raise
 
     async def call_from_server(
-        self,
-        context: CallContext | None,
-        method: str,
-        path: str,
-        target: str,
-        headers: Headers,
-        body: bytes,
+        self, context: CallContext | None, request: HttpRequest
     ) -> Answer:
-        """Run a deeper call of the backend server beside this node."""
+        """Run a call of the backend server beside this node.
+
+        `context` is that of the request it runs for; None for work on its own
+        account.
+        """
         policy = self._current_policy()
-        route = policy.match(method, path)
+        route = policy.match(request.method, request.path)
         if route is None:
             raise make_refusal(Reason.ROUTE_UNKNOWN, Outcome.NOT_RUN)
         if context is None:
-            call = self._background_call(policy, route, method, target, headers, body)
-            return await self._run(call)
-        call = self._deeper_call(context, policy, route, method, target, headers, body)
+            return await self._run(self._make_background_call(policy, route, request))
+        call = self._make_deeper_call(context, policy, route, request)
         permit = context.permit
         before = context.ledger.remaining
         if permit is not None:
@@ -179,78 +166,57 @@
             if permit is not None:
                 permit.leave_deeper(self._clock.monotonic())
 
-    def _deeper_call(
-        self,
-        context: CallContext,
-        policy: Policy,
-        route: Route,
-        method: str,
-        target: str,
-        headers: Headers,
-        body: bytes,
+    def _make_deeper_call(
+        self, context: CallContext, policy: Policy, route: Route, request: HttpRequest
     ) -> Call:
         parent = context.message
-        treatment = policy.classify(route, parent.organisation, method)
+        treatment = policy.classify(route, parent.organisation, request.method)
         deadline = self._clock.monotonic() + treatment.deadline_s
-        given_key = find_header(headers, b"idempotency-key")
-        return Call(
+        origin = Origin(
             root=parent.root,
-            service=route.service,
-            route=route.name,
-            method=method,
-            target=target,
-            headers=passed_headers(headers),
-            body=body,
             organisation=parent.organisation,
             key_id=parent.key_id,
             importance=parent.importance,
             cohort=parent.cohort,
             weight=parent.weight,
+            depth=parent.depth + 1,
             deadline=min(context.deadline, deadline),
             ledger=context.ledger,
-            depth=parent.depth + 1,
-            fingerprint=fingerprint(parent.organisation, method, target, body),
-            repeatable=treatment.repeatable,
-            idempotency_key=given_key
-            or derive_key(parent.root, route.name, method, target, body),
             note=context.note,
             resend=parent.resend,
         )
+        return Call(
+            request,
+            route,
+            treatment,
+            origin,
+            find_or_derive_key(request, origin, route),
+        )
 
-    def _background_call(
-        self,
-        policy: Policy,
-        route: Route,
-        method: str,
-        target: str,
-        headers: Headers,
-        body: bytes,
+    def _make_background_call(
+        self, policy: Policy, route: Route, request: HttpRequest
     ) -> Call:
-        treatment: Treatment = policy.classify(route, INTERNAL_ORGANISATION, method)
+        treatment = policy.classify(route, INTERNAL_ORGANISATION, request.method)
         root = make_root(self._clock.wall())
-        given_key = find_header(headers, b"idempotency-key")
-        return Call(
+        origin = Origin(
             root=root,
-            service=route.service,
-            route=route.name,
-            method=method,
-            target=target,
-            headers=passed_headers(headers),
-            body=body,
             organisation=INTERNAL_ORGANISATION,
             key_id="",
             importance=Importance.BACKGROUND,
             cohort=cohort_of(root) if self._policy.cohorts else 0,
             weight=1,
+            depth=1,
             deadline=self._clock.monotonic() + treatment.deadline_s,
             ledger=AttemptLedger(treatment.extra_attempts),
-            depth=1,
-            fingerprint=fingerprint(INTERNAL_ORGANISATION, method, target, body),
-            repeatable=treatment.repeatable,
-            idempotency_key=given_key
-            or derive_key(root, route.name, method, target, body),
             note=partial(self._thresholds.observe, route.name),
         )
+        return Call(
+            request,
+            route,
+            treatment,
+            origin,
+            find_or_derive_key(request, origin, route),
+        )
 
     async def _run(self, call: Call) -> Answer:
         if not call.repeatable:
@@ -270,7 +236,10 @@
     def _reject_early(self, call: Call) -> None:
         if not self._policy.early_rejection:
             return
-        rejecting = self._thresholds.admits(call.route, call.importance, call.cohort)
+        origin = call.origin
+        rejecting = self._thresholds.admits(
+            call.route, origin.importance, origin.cohort
+        )
         if rejecting is not None:
             raise make_refusal(Reason.SHED, Outcome.NOT_RUN, retry_after_s=1.0)
 
@@ -289,6 +258,14 @@
     return find_header(headers, b"x-api-key")
 
 
+def find_or_derive_key(request: HttpRequest, origin: Origin, route: Route) -> str:
+    """Return the idempotency key of a backend server's call."""
+    given = find_header(request.headers, b"idempotency-key")
+    return given or derive_key(
+        origin.root, route.name, request.method, request.target, request.body
+    )
+
+
 def identify(call: Call) -> bytes:
     """Return what a resend has in common with its request, headers included."""
     digest = hashlib.blake2b(call.fingerprint, digest_size=16)
--- a/src/heathermount/node/executor.py
+++ b/src/heathermount/node/executor.py
@@ -15,6 +15,7 @@
 )
 from heathermount.errors import Refusal
 from heathermount.membership import RosterRecord
+from heathermount.node.announcements import Announcement
 from heathermount.node.calls import CallContext
 from heathermount.node.parts import Parts
 from heathermount.node.refusals import answer_of, make_refusal
@@ -36,7 +37,7 @@
 )
 from heathermount.wire.messages import Answer, Execute, QuarantineNotice, Suspicion
 
-__all__ = ["Announcement", "Executor"]
+__all__ = ["Executor"]
 
 # A backend server marks its own refusals with this header; with status 503
 # they prove that the request did not run.
@@ -49,40 +50,6 @@
 KEY_HEADERS: Final = frozenset({b"authorization", b"x-api-key"})
 
 
-class Announcement:
-    """What a backend server says about itself."""
-
-    __slots__ = (
-        "address",
-        "cold_start_s",
-        "connections",
-        "health_path",
-        "load_path",
-        "slots",
-    )
-
-    def __init__(
-        self,
-        address: str,
-        slots: int,
-        connections: int,
-        cold_start_s: float = 0.0,
-        health_path: str = "",
-        load_path: str = "",
-    ) -> None:
-        self.address = address
-        self.slots = slots
-        self.connections = connections
-        self.cold_start_s = cold_start_s
-        self.health_path = health_path
-        self.load_path = load_path
-
-    def __eq__(self, other: object) -> bool:
-        if not isinstance(other, Announcement):
-            return NotImplemented
-        return all(getattr(self, n) == getattr(other, n) for n in self.__slots__)
-
-
 class Executor:
     """Admits requests to the backend server and runs them."""
 
--- a/src/heathermount/node/http.py
+++ b/src/heathermount/node/http.py
@@ -1,7 +1,7 @@
 """Reading requests and sending answers over ASGI."""
 
 from collections.abc import Awaitable, Callable, MutableMapping
-from typing import Any
+from typing import Any, Self
 
 import anyio
 
@@ -14,6 +14,7 @@
 __all__ = [
     "ASGIApp",
     "CallerLeft",
+    "HttpRequest",
     "Receive",
     "Scope",
     "Send",
@@ -25,7 +26,6 @@
     "send_json",
     "send_ran",
     "send_refusal",
-    "target_of",
 ]
 
 Scope = MutableMapping[str, Any]
@@ -53,6 +53,28 @@
 OWN_PREFIX = b"heathermount-"
 
 
+class HttpRequest:
+    """A whole request of a caller or of the local backend server."""
+
+    __slots__ = ("body", "headers", "method", "path", "target")
+
+    def __init__(
+        self, method: str, path: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        self.method = method
+        self.path = path
+        # Path and query as they were sent.
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+    @classmethod
+    def from_scope(cls, scope: Scope, body: bytes) -> Self:
+        return cls(
+            scope["method"], scope["path"], target_of(scope), scope["headers"], body
+        )
+
+
 class CallerLeft(Exception):
     """The caller closed its connection."""
 
--- a/src/heathermount/node/local.py
+++ b/src/heathermount/node/local.py
@@ -8,11 +8,12 @@
 
 from heathermount.config.settings import LimitSettings
 from heathermount.errors import Refusal
+from heathermount.node.announcements import Announcement
 from heathermount.node.calls import ContextTable
 from heathermount.node.entry import Entry
-from heathermount.node.executor import Announcement
 from heathermount.node.http import (
     CallerLeft,
+    HttpRequest,
     Receive,
     Scope,
     Send,
@@ -22,7 +23,6 @@
     send_json,
     send_ran,
     send_refusal,
-    target_of,
 )
 from heathermount.node.refusals import make_refusal
 from heathermount.values import Outcome, Reason
@@ -104,14 +104,8 @@
         context = self._contexts.find(token) if token else None
         if token and context is None:
             raise make_refusal(Reason.INVALID_CONTEXT, Outcome.NOT_RUN)
-        return await self._entry.call_from_server(
-            context,
-            scope["method"],
-            scope["path"],
-            target_of(scope),
-            scope["headers"],
-            body,
-        )
+        request = HttpRequest.from_scope(scope, body)
+        return await self._entry.call_from_server(context, request)
 
     async def _manage(self, method: str, path: str, body: bytes, send: Send) -> None:
         if (method, path) == ("POST", ANNOUNCE_PATH):
--- a/src/heathermount/node/serving.py
+++ b/src/heathermount/node/serving.py
@@ -8,7 +8,8 @@
 
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
 from heathermount.membership import Group, MemberRecord
-from heathermount.node.executor import Announcement, Executor
+from heathermount.node.announcements import Announcement
+from heathermount.node.executor import Executor
 from heathermount.node.parts import Parts
 from heathermount.node.routes import RouteTable
 
--- a/src/heathermount/routing/quarantine.py
+++ b/src/heathermount/routing/quarantine.py
@@ -208,10 +208,14 @@
         self._turn = start + RECENT_IN_TURN
         return newest + (older + older)[start : start + RECENT_IN_TURN]
 
+    def proven(self, fingerprint: bytes) -> bool:
+        """Tell whether a request with the fingerprint completed here recently."""
+        completed_at = self._completed.get(fingerprint, float("-inf"))
+        return completed_at >= self._clock.monotonic() - DURATION_S
+
     def _count(self, fingerprint: bytes, suspect: Suspect) -> int:
         """Return the losses that count against a fingerprint."""
-        completed_at = self._completed.get(fingerprint, float("-inf"))
-        if completed_at < self._clock.monotonic() - DURATION_S:
+        if not self.proven(fingerprint):
             return len(suspect.servers)
         times = sorted(suspect.servers.values())
         losses = 1 + sum(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -292,6 +292,22 @@
     assert not quarantine.enter(b"one")
 
 
+def test_completed_request_is_cleared_of_earlier_losses() -> None:
+    """Guards against a rack's failure that blocks ordinary requests for minutes."""
+    clock = ManualClock()
+    quarantine = Quarantine(clock)
+    assert quarantine.suspect(b"new", "server-1") == 1
+    assert quarantine.completed(b"new")
+    assert quarantine.suspicions(b"new") == 0
+    quarantine.merge([Suspicion(b"new", "server-1", 0.0)])
+    assert quarantine.suspicions(b"new") == 0, "an old suspicion came back"
+    for number in range(2, 6):
+        assert not quarantine.blocked(b"new")
+        clock.advance(2.0)
+        quarantine.suspect(b"new", f"server-{number}")
+    assert quarantine.blocked(b"new"), "four losses after the completion"
+
+
 def test_quarantine_memory_is_bounded_and_keeps_blocks() -> None:
     """Guards against memory growth, and against single suspicions evicting blocks."""
     quarantine = Quarantine(ManualClock())
