Test what the executing node refuses

Cause: the age check of non-repeatable requests and the recheck of keys at the executing node had no test of their own. Conclusion: both refusals are pinned down.

--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,103 @@
+"""What the executing node refuses before a request reaches its backend server."""
+
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+
+from builders import make_settings_table
+from heathermount.clocks import ManualClock
+from heathermount.config.documents import FleetDocument
+from heathermount.config.settings import Settings
+from heathermount.membership import RosterRecord
+from heathermount.node.announcements import Announcement
+from heathermount.node.executor import Executor
+from heathermount.node.parts import Parts
+from heathermount.routing import Member
+from heathermount.standins.store import FakeStore, StoreState
+from heathermount.wire.messages import Answer, Execute, QuarantineNotice
+
+pytestmark = pytest.mark.anyio
+
+
+async def share_nothing(notice: QuarantineNotice) -> None:
+    return None
+
+
+async def run_nowhere(member: Member, message: Execute) -> Answer:
+    raise AssertionError("the request was sent to another member")
+
+
+def make_executor() -> tuple[Executor, Parts, ManualClock]:
+    """Return an executor whose backend server must not be called."""
+    clock = ManualClock()
+    settings = Settings.from_config(make_settings_table(), "node.toml")
+    parts = Parts(settings, FakeStore(StoreState(clock)), clock, Random(1), None)
+    executor = Executor(
+        parts, share_nothing, run_nowhere, lambda: RosterRecord(service="pantry")
+    )
+    executor.announce(Announcement("127.0.0.1:1", slots=4, connections=8))
+    return executor, parts, clock
+
+
+def make_execute(clock: ManualClock, **fields: Any) -> Execute:
+    """Return a request to run; it may not be repeated."""
+    message = Execute(
+        call_id=b"call",
+        root="root",
+        service="pantry",
+        route="restock",
+        method="POST",
+        target="/pantry/restock",
+        headers=[],
+        body=b"",
+        organisation="cart-1",
+        key_id="",
+        importance=1,
+        cohort=0,
+        weight=1,
+        deadline_s=2.0,
+        sent_at=clock.wall(),
+        allowance=2,
+        depth=1,
+        fingerprint=b"fingerprint",
+        repeatable=False,
+        resend=False,
+        revision=0,
+    )
+    return msgspec.structs.replace(message, **fields)
+
+
+async def test_request_from_a_paused_sender_does_not_run() -> None:
+    """Guards against a run after the claim of the request was forgotten."""
+    executor, _, clock = make_executor()
+    message = make_execute(clock)
+    clock.advance(5.0)
+    answer = await executor.execute(message)
+    assert (answer.reason, answer.outcome) == ("deadline", "not-run")
+
+
+async def test_withdrawn_key_does_not_run_at_a_newer_node() -> None:
+    """Guards against an entry node that has not heard of a withdrawal."""
+    executor, parts, clock = make_executor()
+    entries = {"failure_domains": ["a"], "organisations/cart-1": {}}
+    parts.tracker.offer_document(FleetDocument(7, "change-7", entries))
+    assert parts.tracker.revision == 7
+    older = make_execute(clock, key_id="k1", revision=6)
+    assert (await executor.execute(older)).reason == "key-withdrawn"
+    newer = make_execute(clock, key_id="k1", revision=8)
+    assert (await executor.execute(newer)).reason == "no-server"
+
+
+async def test_draining_and_quarantine_refuse_truthfully() -> None:
+    """Guards against work for a leaving server, or for a request that crashes it."""
+    executor, parts, clock = make_executor()
+    parts.quarantine.suspect(b"fingerprint", "server-1")
+    parts.quarantine.suspect(b"fingerprint", "server-2")
+    answer = await executor.execute(make_execute(clock))
+    assert (answer.reason, answer.outcome) == ("quarantined", "not-run")
+    executor.draining = True
+    answer = await executor.execute(make_execute(clock))
+    assert (answer.reason, answer.outcome) == ("draining", "not-run")
+    assert parts.invariants.violations == {}
