Spread and slow the store calls of a whole fleet under failures

Cause: the capacity page extrapolates 5,690 reads/s while the store is down (each member polls it and asks for its partitions every second), 590 writes/s when a failure domain is lost (all groups remove members at once), and 17.5 KB/s for a group's reader. Change: members that are not the reader, and candidates of partitions, wait up to 16 s and 8 s between attempts while the store is down; removals of silent members are spread over 4 s by group; the head's deltas take 3 KiB instead of 6. Conclusion: by the formulas 590 reads/s of readers plus about 1,000/s of all other members, 148 writes/s after a lost domain, and 13.4 KB/s for a reader.

--- a/src/heathermount/config/documents.py
+++ b/src/heathermount/config/documents.py
@@ -39,9 +39,9 @@
 HISTORY_SIZE: Final = 256
 
 # Size of the deltas in the head record. A reader fetches the head every second
-# and a node's control traffic is bounded by 17 KB/s; base64 adds a third. The
-# design allows up to 64 KiB.
-RECENT_BYTES: Final = 6 * 1024
+# and a node's control traffic is bounded by 17 KB/s; base64 adds a third, and
+# heartbeats take most of the rest.
+RECENT_BYTES: Final = 3 * 1024
 
 # Deeply nested values end in a RecursionError.
 UNDECODABLE: Final = (msgspec.MsgspecError, RecursionError)
--- a/src/heathermount/membership/group.py
+++ b/src/heathermount/membership/group.py
@@ -27,6 +27,9 @@
 SUSPECT_AFTER_S: Final = 1.5
 # A silent peer is removed from the roster after this long, in seconds.
 REMOVE_AFTER_S: Final = 15.0
+# When a failure domain is lost, the groups' writes are spread over this time.
+REMOVE_SPREAD_S: Final = 4.0
+MAX_RANK: Final = 2**64
 # Above this size a node sends heartbeats only to its successors on the ring.
 ALL_TO_ALL_MEMBERS: Final = 32
 RING_SUCCESSORS: Final = 8
@@ -62,6 +65,7 @@
         "_heard",
         "_links",
         "_period_s",
+        "_remove_after_s",
         "_scopes",
         "_tasks",
         "node",
@@ -91,6 +95,8 @@
         self._heard = heard
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._tasks: TaskGroup | None = None
+        share = int.from_bytes(reader_rank(roster.service, node)) / MAX_RANK
+        self._remove_after_s = REMOVE_AFTER_S + share * REMOVE_SPREAD_S
 
     def live_members(self) -> list[str]:
         """Return the nodes that answer heartbeats, this one included if it joined."""
@@ -189,7 +195,7 @@
         gone = [
             peer
             for peer in self.peers.values()
-            if peer.dead or peer.silent_s(now) > REMOVE_AFTER_S
+            if peer.dead or peer.silent_s(now) > self._remove_after_s
         ]
         if not gone or not self.is_reader():
             return
--- a/src/heathermount/node/updates.py
+++ b/src/heathermount/node/updates.py
@@ -28,6 +28,7 @@
 # A member that is not the reader reads the store itself when nothing confirmed
 # its revision for this many polling periods.
 UNCONFIRMED_POLLS: Final = 2.0
+MAX_DOUBT_PAUSE_S: Final = 16.0
 
 
 class Updates:
@@ -37,10 +38,13 @@
         "_clients",
         "_clock",
         "_directory",
+        "_doubt_pause_s",
         "_events",
         "_fetching",
         "_group",
+        "_next_doubt_read",
         "_reading_roster",
+        "_rng",
         "_routes",
         "_settings",
         "_store_down",
@@ -60,6 +64,9 @@
         self._routes: RouteTable
         # Addresses that a configuration is being fetched from.
         self._fetching: set[str] = set()
+        self._rng = parts.rng
+        self._doubt_pause_s = parts.settings.timings.config_poll_s
+        self._next_doubt_read = 0.0
         self._store_down = False
         self._reading_roster = False
 
@@ -73,14 +80,33 @@
         """Poll the configuration's head, as the group's reader or if in doubt."""
         period_s = self._settings.timings.config_poll_s
         while True:
-            age_s = self._tracker.confirmed_age_s()
-            in_doubt = age_s > UNCONFIRMED_POLLS * period_s or self._tracker.forked
-            if self._group.is_reader() or in_doubt:
+            if self._group.is_reader() or self._reads_in_doubt():
                 await self.read_store()
             if not self._tracker.fresh():
                 await self._ask_other_domains()
             await anyio.sleep(period_s)
 
+    def _reads_in_doubt(self) -> bool:
+        """Tell whether a member that is not the reader reads the store now.
+
+        The reader may be cut off from the store. While the store is down,
+        though, all members are in doubt; they wait longer after each attempt,
+        so that their reads do not add up with the size of the fleet.
+        """
+        now = self._clock.monotonic()
+        period_s = self._settings.timings.config_poll_s
+        if self._tracker.forked:
+            return True
+        if self._tracker.confirmed_age_s() <= UNCONFIRMED_POLLS * period_s:
+            self._doubt_pause_s = period_s
+            self._next_doubt_read = 0.0
+            return False
+        if now < self._next_doubt_read:
+            return False
+        self._next_doubt_read = now + self._doubt_pause_s * (1 + self._rng.random())
+        self._doubt_pause_s = min(MAX_DOUBT_PAUSE_S, 2 * self._doubt_pause_s)
+        return True
+
     async def read_store(self) -> None:
         """Read the head once; an outage is recorded when it starts and ends."""
         down = False
--- a/src/heathermount/ownership/manager.py
+++ b/src/heathermount/ownership/manager.py
@@ -31,6 +31,9 @@
 
 TICK_S: Final = 0.25
 RETRY_S: Final = 1.0
+# All candidates of the fleet wait for a store that is down. A term (120 s) leaves
+# an owner time for many attempts at this distance.
+MAX_RETRY_S: Final = 8.0
 
 
 class OwnershipManager:
@@ -48,6 +51,7 @@
         "_clock",
         "_directory",
         "_events",
+        "_failures",
         "_host",
         "_invariants",
         "_lapsed",
@@ -85,6 +89,8 @@
         )
         self._busy: set[str] = set()
         self._lapsed: set[str] = set()
+        # Store failures in a row, by partition.
+        self._failures: dict[str, int] = {}
         self._started: set[str] = set()
 
     @classmethod
@@ -167,6 +173,7 @@
                 await self._consider(name, self._candidacy.watches[name])
             else:
                 await self._renew(partition)
+            self._failures.pop(name, None)
         except (StoreUnavailable, StoreOutcomeUnknown):
             self._postpone(name)
         except InvalidMessage as error:
@@ -176,7 +183,10 @@
             self._busy.discard(name)
 
     def _postpone(self, name: str) -> None:
-        retry_at = self._clock.monotonic() + RETRY_S
+        """Try again later, after a longer time for each failure in a row."""
+        failures = self._failures[name] = self._failures.get(name, 0) + 1
+        pause_s = min(MAX_RETRY_S, RETRY_S * 2 ** (failures - 1))
+        retry_at = self._clock.monotonic() + pause_s
         self._next_renewal[name] = retry_at
         if name in self._candidacy.watches:
             self._candidacy.watches[name].next_read = retry_at
