Print the time line's times in UTC

Cause: the tool's timeline showed microseconds since 1970 with a counter, which nobody on call can read beside a log. Measured: tests/test_control.py, 30 passed.

--- a/src/heathermount/cli/output.py
+++ b/src/heathermount/cli/output.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
 from typing import Any, Final
 
 import msgspec
@@ -87,7 +88,7 @@
             if self._json:
                 print(to_json(msgspec.structs.asdict(event)))
             else:
-                print(f"{event.wall_us}.{event.counter} {format_event(event)}")
+                print(f"time={format_time(event.wall_us)} {format_event(event)}")
 
     def unreachable(self, states: Iterable[NodeState]) -> None:
         for state in states:
@@ -154,3 +155,9 @@
         ).rstrip()
         for row in rows
     ]
+
+
+def format_time(wall_us: int) -> str:
+    """Format microseconds since the Unix epoch as UTC in ISO 8601."""
+    moment = datetime.fromtimestamp(wall_us / 1_000_000, UTC)
+    return moment.isoformat(timespec="microseconds").replace("+00:00", "Z")
