--- a/src/heathermount/standins/scenarios.py
+++ b/src/heathermount/standins/scenarios.py
@@ -95,9 +95,10 @@
         ),
         Scenario(
             name="cold",
-            title="deep service starts cold",
+            title="deep service gone for 2 s, then cold",
             disturbance="cold-start",
-            end_s=6.5,
+            end_s=9.0,
+            recovery_from="start",
         ),
     )
 }
