--- a/src/heathermount/standins/measure.py
+++ b/src/heathermount/standins/measure.py
@@ -110,12 +110,17 @@
 
 
 def read_revision() -> str:
-    """Return the short git revision, with "+" when files are changed."""
-    command = ["git", "describe", "--always", "--dirty=+", "--abbrev=7"]
+    """Return the short git revision, with "+" when source files are changed."""
+    revision = ask_git("rev-parse", "--short=7", "HEAD")
+    changed = ask_git("status", "--porcelain", "--", "src")
+    return (revision or "unknown") + ("+" if changed else "")
+
+
+def ask_git(*arguments: str) -> str:
     done = subprocess.run(
-        command, cwd=ROOT, capture_output=True, text=True, check=False
+        ["git", *arguments], cwd=ROOT, capture_output=True, text=True, check=False
     )
-    return done.stdout.strip() or "unknown"
+    return done.stdout.strip()
 
 
 def main(arguments: list[str]) -> None:
