--- a/src/heathermount/cli/reference.py
+++ b/src/heathermount/cli/reference.py
@@ -217,12 +217,6 @@
                 "s",
                 POSITIVE,
             ),
-            "objective": Note(
-                "What matters more under overload: `balanced`, `fairness` or "
-                "`goodput`.",
-                "",
-                "is another word",
-            ),
         },
     ),
     Section(
--- a/src/heathermount/config/declaration.py
+++ b/src/heathermount/config/declaration.py
@@ -31,7 +31,6 @@
 METHOD: Final = re.compile(r"[A-Z]+")
 PATH: Final = re.compile(r"/|(/[A-Za-z0-9_~.!$&'()*+,;=:@-]+)+")
 REPEATABLE_METHODS: Final = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
-OBJECTIVES: Final = ("balanced", "fairness", "goodput")
 IMPORTANCES: Final = tuple(level.name.lower() for level in Importance)
 # Ten extra attempts per root request triple the load of a chain at the very
 # least; more is a mistake in the declaration.
@@ -59,7 +58,6 @@
     burst: float = 200.0
     weight: int = 1
     quota_partitions: int = 8
-    objective: str = "balanced"
 
 
 class RouteTable(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -202,12 +200,6 @@
                 f"is {table.quota_partitions}",
                 f"set it from 1 to {MAX_QUOTA_PARTITIONS}",
             )
-        if table.objective not in OBJECTIVES:
-            self.add(
-                "defaults.objective",
-                f"is {table.objective!r}",
-                f"use one of {', '.join(OBJECTIVES)}",
-            )
         self.check_methods("defaults.repeatable_methods", table.repeatable_methods)
         return table
 
--- a/src/heathermount/config/policy.py
+++ b/src/heathermount/config/policy.py
@@ -143,7 +143,6 @@
         "_secret",
         "_treatments",
         "failure_domains",
-        "objective",
         "organisations",
         "quota_partitions",
         "retention_s",
@@ -166,7 +165,6 @@
     ) -> None:
         self.revision = revision
         self.failure_domains = failure_domains
-        self.objective = defaults.objective
         self.organisations = organisations
         self.retention_s = defaults.retention_s
         self.quota_partitions = defaults.quota_partitions
