Size partitions for the two-year fleet

Cause: at 32 quota partitions and two claim slots a service the capacity page put an allocator at 0.21 cores and a claim owner at 3.15% of a core. Conclusion: not met by the page: latency, allocators if all calls come from outside, and the reads of an outage, whose measurement is from before the slower retries.

--- a/src/heathermount/claims/keys.py
+++ b/src/heathermount/claims/keys.py
@@ -9,7 +9,7 @@
 __all__ = ["SLOTS", "issued_at_of", "make_claim_key", "partition_of"]
 
 # Partitions of each service with routes that must not be repeated.
-SLOTS: Final = 2
+SLOTS: Final = 4
 
 
 def make_claim_key(organisation: str, service: str, idempotency_key: str) -> bytes:
--- a/src/heathermount/node/partitions.py
+++ b/src/heathermount/node/partitions.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from heathermount.claims import BodyBudget, ClaimTable
+from heathermount.claims import SLOTS, BodyBudget, ClaimTable
 from heathermount.clocks import Clock
 from heathermount.config.tracker import ConfigTracker
 from heathermount.invariants import Invariants
@@ -20,7 +20,6 @@
 )
 
 __all__ = [
-    "CLAIM_SLOTS",
     "QUOTA_PARTITIONS",
     "HomeServices",
     "OwnedPartitions",
@@ -30,7 +29,6 @@
 # not grow with the fleet: 8 partitions renewed every 40 s in 4 domains are 0.8
 # writes a second.
 QUOTA_PARTITIONS: Final = 8
-CLAIM_SLOTS: Final = 2
 # Services whose nodes may own a quota partition.
 HOME_SERVICES: Final = 3
 DEFAULT_RETENTION_S: Final = 600.0
@@ -107,7 +105,7 @@
             if service in self.home_services(name)
         ]
         if service in policy.services_with_claims:
-            partitions += [f"claims/{service}/{slot}" for slot in range(CLAIM_SLOTS)]
+            partitions += [f"claims/{service}/{slot}" for slot in range(SLOTS)]
         return partitions
 
     def grant(self, request: TokenRequest) -> TokenReply:
--- a/src/heathermount/standins/capacity_failures.py
+++ b/src/heathermount/standins/capacity_failures.py
@@ -2,7 +2,9 @@
 
 from typing import Final
 
+from heathermount.claims import SLOTS
 from heathermount.membership.directory import MEMBERS_ASKED, MIN_REFRESH_S, REFRESH_S
+from heathermount.membership.group import REMOVE_SPREAD_S
 from heathermount.standins.capacity_model import SIZE, Results
 
 __all__ = ["READ_LIMIT", "WRITE_LIMIT", "add_failures"]
@@ -12,7 +14,6 @@
 WRITE_LIMIT: Final = 300.0
 # A proof of death comes with the next heartbeat, and the reader removes the dead
 # in its next period.
-REMOVAL_S: Final = 1.0
 RANK_DELAY_S: Final = 0.5
 
 
@@ -31,11 +32,11 @@
     servers, domains = figures["servers"], figures["domains"]
     dead = servers / domains
     alive = servers - dead
-    partitions = 2 * figures["services"] + figures["partitions"]
+    partitions = SLOTS * figures["services"] + figures["partitions"]
     survivors = figures["members"] * (1 - 1 / domains)
     figures["dead"] = dead
     figures["removal_calls"] = figures["services"]
-    figures["removal_rate"] = figures["services"] / REMOVAL_S
+    figures["removal_rate"] = figures["services"] / REMOVE_SPREAD_S
     figures["takeovers"] = partitions / domains
     figures["takeover_s"] = RANK_DELAY_S * survivors
     figures["takeover_reads"] = figures["takeovers"] * survivors
@@ -56,7 +57,7 @@
     """A store outage: reads that are asked for, and those at its end."""
     down = [one for one in results.of("store-outage") if one.sizes["down"]][-1]
     figures["outage_node_reads"] = down.result["reads_per_s"] / down.sizes["nodes"]
-    figures["outage_polls"] = figures["servers"]
+    figures["outage_polls"] = figures["services"]
     figures["outage_reads"] = figures["outage_node_reads"] * figures["servers"]
 
 
@@ -84,7 +85,9 @@
     figures["parted_nodes"] = half
     figures["parted_calls"] = figures["calls"] / 2
     figures["parted_share"] = 0.5
-    figures["parted_takeovers"] = (2 * figures["services"] + figures["partitions"]) / 2
+    figures["parted_takeovers"] = (
+        SLOTS * figures["services"] + figures["partitions"]
+    ) / 2
     figures["parted_removals_s"] = figures["services"] / WRITE_LIMIT
     figures["parted_joins_s"] = half / WRITE_LIMIT
 
--- a/src/heathermount/standins/capacity_limits.py
+++ b/src/heathermount/standins/capacity_limits.py
@@ -19,8 +19,8 @@
 
 
 PER_LOAD: Final = (
-    "make the number of quota partitions follow the load, or let one node of a "
-    "group ask for the whole group"
+    "more quota partitions (a setting), or let one node of a group ask for the "
+    "whole group"
 )
 PACE: Final = "pace starts, and let the group's reader look up owners for its group"
 
@@ -119,7 +119,7 @@
         "removal_rate",
         300.0,
         "per_s",
-        "spread the removals of different groups over a few seconds",
+        "spread the removals over more seconds",
     ),
     Limit(
         "store reads after a failure domain is lost, rosters",
--- a/src/heathermount/standins/capacity_model.py
+++ b/src/heathermount/standins/capacity_model.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
+from heathermount.claims import SLOTS
 from heathermount.config.documents import RECENT_BYTES
-from heathermount.node.partitions import CLAIM_SLOTS, HOME_SERVICES, QUOTA_PARTITIONS
+from heathermount.node.partitions import HOME_SERVICES
 from heathermount.standins.capacity_claims import MARGIN_S
 from heathermount.standins.capacity_control import OWNER_TERM_S
 from heathermount.standins.capacity_records import Line, Measurement, fit_line
@@ -28,9 +29,11 @@
     "keys": (2.0, "keys of an organisation, withdrawn ones included"),
     "routes": (3.0, "routes of a service"),
     "not_repeatable": (0.1, "share of calls that are not repeatable"),
+    "quota_partitions": (216.0, "quota partitions of each failure domain, a setting"),
     "called": (10.0, "services that one node calls"),
     "retention": (600.0, "retention of idempotency keys, in seconds"),
 }
+PARTITIONS: Final = ASSUMPTIONS["quota_partitions"][0]
 DAY_S: Final = 86_400.0
 TERM_S: Final = 120.0
 RENEWALS: Final = 3.0
@@ -142,8 +145,8 @@
     partition.
     """
     period_s = term_s / RENEWALS
-    claims = services * CLAIM_SLOTS
-    quota = SIZE["domains"] * QUOTA_PARTITIONS
+    claims = services * SLOTS
+    quota = SIZE["domains"] * PARTITIONS
 
     def watching(count: float) -> float:
         others = max(0.0, count - 1)
@@ -211,7 +214,7 @@
     figures["reader_bytes"] = figures["node_bytes"] + figures["head_rate"]
     figures["link"] = results.slope("link_memory") / 2
     figures["links"] = 2 * members + figures["called"] * members * 2
-    figures["links"] += figures["domains"] * QUOTA_PARTITIONS
+    figures["links"] += figures["domains"] * PARTITIONS
     figures["node_memory"] = (
         results.at("control_memory", members)
         + figures["config_state"]
@@ -225,10 +228,10 @@
 
 
 def add_quota(results: Results, figures: dict[str, float]) -> None:
-    partitions = figures["domains"] * QUOTA_PARTITIONS
+    partitions = figures["domains"] * PARTITIONS
     figures["partitions"] = partitions
     message_s = results.slope("message_cpu") / 2
-    grant_s = results.at("grant", figures["organisations"] / QUOTA_PARTITIONS) / 1e6
+    grant_s = results.at("grant", figures["organisations"] / PARTITIONS) / 1e6
     figures["message_cpu_s"], figures["grant_cpu_s"] = message_s, grant_s
     for case, roots in (("all", 1.0), ("deep", 1 / figures["depth"])):
         for count in ("few", "many"):
@@ -242,7 +245,7 @@
             figures[f"share_{count}"] = share
     figures["quota_limit"] = 0.027 / (message_s + grant_s)
     figures["quota_needed"] = partitions * figures["quota_deep_many_cpu"] / 0.027
-    per_partition = figures["organisations"] / QUOTA_PARTITIONS
+    per_partition = figures["organisations"] / PARTITIONS
     figures["quota_state"] = results.slope("bucket") * per_partition
     figures["quota_links"] = figures["servers"] / figures["domains"]
     figures["quota_memory"] = figures["quota_links"] * figures["link"]
@@ -263,7 +266,7 @@
 
 
 def add_claims(results: Results, figures: dict[str, float]) -> None:
-    slots = figures["services"] * CLAIM_SLOTS
+    slots = figures["services"] * SLOTS
     rate = figures["calls"] * figures["not_repeatable"] / slots
     held_s = figures["retention"] + MARGIN_S
     each = results.slope("claim_bytes")
