--- a/src/heathermount/standins/measurement_page.py
+++ b/src/heathermount/standins/measurement_page.py
@@ -43,6 +43,7 @@
     "worst served/entitled",
     "wrongful 429",
     "refused 503",
+    "p50 ms",
     "load average",
 )
 
@@ -259,6 +260,7 @@
         spread([r.worst_ratio for r in runs], percent),
         spread([r.wrongful_429 for r in runs], percent),
         spread([r.refused_503 for r in runs], percent),
+        spread([r.p50_ms for r in runs], lambda v: f"{v:.0f}"),
         spread([r.load_average for r in runs], lambda v: f"{v:.0f}"),
     )
 
