Add an overload of 30 s to the policy measurements

Cause: the overload of 9 s lets late answers from queues count, with deadlines of 6 s. Measured: not yet.

--- a/src/heathermount/standins/scenarios.py
+++ b/src/heathermount/standins/scenarios.py
@@ -68,6 +68,14 @@
             declared=2.4,
             surge=2.0 / 0.7,
         ),
+        Scenario(
+            name="long",
+            title="2x overload for 30 s",
+            declared=2.4,
+            surge=2.0 / 0.7,
+            end_s=34.0,
+            duration_s=39.0,
+        ),
         Scenario(
             name="slow",
             title="deep service 5x slower, callers resend hard",
