Let a new member learn crash suspicions before it serves

Change: heartbeat replies carry suspicions, and a node serves only after all members of its group answered once, or 2 s.

--- a/src/heathermount/membership/group.py
+++ b/src/heathermount/membership/group.py
@@ -106,6 +106,15 @@
             live.append(self.node)
         return sorted(live)
 
+    def has_heard_all(self) -> bool:
+        """Tell whether each other member has answered once, or is dead."""
+        heard = {
+            name
+            for name, peer in self.peers.items()
+            if peer.dead or peer.answered_at is not None
+        }
+        return all(member.node in heard for member in self._monitored())
+
     def is_dead(self, caller: str) -> bool:
         """Tell whether "<node>/<incarnation>" is a peer that certainly ended."""
         node, _, incarnation = caller.partition("/")
--- a/src/heathermount/node/executor.py
+++ b/src/heathermount/node/executor.py
@@ -71,6 +71,7 @@
         "contexts",
         "quarantine",
         "reachable",
+        "synchronised",
     )
 
     def __init__(
@@ -98,6 +99,8 @@
         self._draining = False
         self._draining_since = 0.0
         self.quarantine = parts.quarantine
+        # False until the group has told this node about crash suspicions.
+        self.synchronised = False
         # False after a refused connection until the server is reached again.
         self.reachable = True
 
@@ -157,7 +160,8 @@
 
     @property
     def serving(self) -> bool:
-        return self.announcement is not None and self.reachable and not self.draining
+        known = self.announcement is not None and self.synchronised
+        return known and self.reachable and not self.draining
 
     async def check_server(self) -> None:
         """Find out whether a backend server that refused connections is back."""
--- a/src/heathermount/node/heartbeats.py
+++ b/src/heathermount/node/heartbeats.py
@@ -68,6 +68,7 @@
             roster_revision=self.group.roster.record.revision,
             confirmed_age_s=parts.tracker.confirmed_age_s(),
             domain_ages_s=parts.tracker.domain_ages_s(),
+            suspicions=parts.quarantine.recent(),
             stamp=parts.events.stamp(),
         )
 
--- a/src/heathermount/node/node.py
+++ b/src/heathermount/node/node.py
@@ -157,6 +157,8 @@
             reasons.append("no backend server has announced itself")
         elif self._group.roster.record.find(self._parts.identity.node) is None:
             reasons.append("the backend server is not in the roster yet")
+        elif not self._executor.synchronised:
+            reasons.append("waiting for the group's crash suspicions")
         elif not self._executor.reachable:
             reasons.append("the backend server does not accept connections")
         if self._executor.draining:
--- a/src/heathermount/node/serving.py
+++ b/src/heathermount/node/serving.py
@@ -15,11 +15,13 @@
 
 __all__ = ["Drain", "Serving"]
 
-CHECK_PERIOD_S: Final = 0.5
+CHECK_PERIOD_S: Final = 0.25
 # Calls notice a backend server that refuses connections at once; this finds one
 # that gets no calls.
 SERVER_CHECK_S: Final = 5.0
 LEAVE_ATTEMPTS: Final = 3
+# Members that do not answer for this long do not keep a new node from serving.
+SYNCHRONISE_S: Final = 2.0
 
 
 class Drain(Enum):
@@ -37,6 +39,7 @@
         "_drains",
         "_executor",
         "_group",
+        "_joined_at",
         "_parts",
         "_routes",
         "_tasks",
@@ -59,6 +62,8 @@
         self._drains: set[Drain] = set()
         # What the roster should say; None while the server is not in service.
         self.member: MemberRecord | None = None
+        # Monotonic time of the first join.
+        self._joined_at: float | None = None
 
     async def keep_membership(self) -> None:
         """Join the roster, and join again if removed meanwhile."""
@@ -73,9 +78,24 @@
                 known = self._group.roster.record.find(member.node)
                 if known != member:
                     await self._group.roster.join(member)
+                self._synchronise(now)
             self._routes.accept(self._group.roster.record)
             await anyio.sleep(CHECK_PERIOD_S)
 
+    def _synchronise(self, now: float) -> None:
+        """Begin to serve once the group has answered, or after a short time.
+
+        A node that starts knows no crash suspicions: it could be the third
+        that a request takes down.
+        """
+        if self._executor.synchronised:
+            return
+        if self._joined_at is None:
+            self._joined_at = now
+        waited_s = now - self._joined_at
+        if self._group.has_heard_all() or waited_s > SYNCHRONISE_S:
+            self._executor.synchronised = True
+
     async def announce(self, announcement: Announcement) -> None:
         """Take the server into service; an announcement ends the server's own drain."""
         new = self._executor.announce(announcement)
--- a/src/heathermount/node/updates.py
+++ b/src/heathermount/node/updates.py
@@ -43,6 +43,7 @@
         "_fetching",
         "_group",
         "_next_doubt_read",
+        "_quarantine",
         "_reading_roster",
         "_rng",
         "_routes",
@@ -64,6 +65,7 @@
         self._routes: RouteTable
         # Addresses that a configuration is being fetched from.
         self._fetching: set[str] = set()
+        self._quarantine = parts.quarantine
         self._rng = parts.rng
         self._doubt_pause_s = parts.settings.timings.config_poll_s
         self._next_doubt_read = 0.0
@@ -149,6 +151,7 @@
         self, member: MemberRecord, reply: HeartbeatReply, sent_at: float
     ) -> None:
         """Take what a peer's answer to a heartbeat tells."""
+        self._quarantine.merge(reply.suspicions)
         self._tracker.contact(member.failure_domain, sent_at)
         for domain, age_s in reply.domain_ages_s.items():
             self._tracker.contact(domain, sent_at - age_s)
--- a/src/heathermount/wire/messages.py
+++ b/src/heathermount/wire/messages.py
@@ -208,6 +208,8 @@
     confirmed_age_s: float
     # Age of the last contact with each failure domain, in seconds.
     domain_ages_s: dict[str, float]
+    # For a member that joined after the suspicions were shared.
+    suspicions: list[Suspicion]
     stamp: tuple[int, int]
 
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -38,6 +38,7 @@
         parts, share_nothing, run_nowhere, lambda: RosterRecord(service="pantry")
     )
     executor.announce(Announcement("127.0.0.1:1", slots=4, connections=8))
+    executor.synchronised = True
     return executor, parts, clock
 
 
