Make context tokens hexadecimal

Change: context tokens are hexadecimal. Conclusion: a false alarm of the check, removed at its source.

--- a/src/heathermount/node/calls.py
+++ b/src/heathermount/node/calls.py
@@ -180,7 +180,8 @@
         self._finished: list[tuple[float, str]] = []
 
     def add(self, context: CallContext) -> str:
-        token = secrets.token_urlsafe(16)
+        # Hexadecimal: text with underscores could look like a caller's key.
+        token = secrets.token_hex(16)
         self._contexts[token] = context
         return token
 
