Open the latency paths in one place

Cause: the read-through found latency.py and costs.py setting up and warming up the same three paths, and is_reader comparing with an empty name that reader() never returns. Change: open_paths serves both measurements; is_reader compares with the node only. Conclusion: same behaviour, one copy.

--- a/src/heathermount/membership/group.py
+++ b/src/heathermount/membership/group.py
@@ -129,7 +129,7 @@
         return min(candidates, key=lambda node: reader_rank(self.roster.service, node))
 
     def is_reader(self) -> bool:
-        return self.reader() in ("", self.node)
+        return self.reader() == self.node
 
     async def run(self) -> None:
         """Keep one heartbeat task for each peer in the roster."""
--- a/src/heathermount/standins/costs.py
+++ b/src/heathermount/standins/costs.py
@@ -12,9 +12,8 @@
 from heathermount.standins.fleets import KETTERING
 from heathermount.standins.latency import (
     LATENCY_FLEET,
-    WARM_UP_S,
-    Path as CallPath,
     PathResult,
+    open_paths,
     run_paths,
 )
 
@@ -65,17 +64,8 @@
         await anyio.sleep(IDLE_S)
         idle_nodes = describe_nodes(fleet, idle_before, await sample_nodes(fleet))
     async with Fleet(LATENCY_FLEET, seed) as fleet:
-        key = [(b"authorization", b"Bearer " + fleet.keys["shop-1"].encode())]
-        entry = fleet.members["front-1"].callers
-        paths = [
-            CallPath("direct", fleet.members["back-1"].server, "/back/far", []),
-            CallPath("one-node", entry, "/front/near", key),
-            CallPath("two-nodes", entry, "/back/far", key),
-        ]
         random = Random(seed)
-        await run_paths(paths, WARM_UP_S, random)
-        for path in paths:
-            path.reset()
+        paths = await open_paths(fleet, random)
         before = await sample_nodes(fleet)
         await run_paths(paths, seconds, random)
         after = await sample_nodes(fleet)
--- a/src/heathermount/standins/latency.py
+++ b/src/heathermount/standins/latency.py
@@ -106,21 +106,27 @@
 async def measure_latency(seed: int, seconds: float) -> list[PathResult]:
     """Measure the direct path, one node and two nodes, interleaved in one run."""
     async with Fleet(LATENCY_FLEET, seed) as fleet:
-        key = [(b"authorization", b"Bearer " + fleet.keys["shop-1"].encode())]
-        entry = fleet.members["front-1"].callers
-        paths = [
-            Path("direct", fleet.members["back-1"].server, "/back/far", []),
-            Path("one-node", entry, "/front/near", key),
-            Path("two-nodes", entry, "/back/far", key),
-        ]
         random = Random(seed)
-        await run_paths(paths, WARM_UP_S, random)
-        for path in paths:
-            path.reset()
+        paths = await open_paths(fleet, random)
         await run_paths(paths, seconds, random)
         return [path.result() for path in paths]
 
 
+async def open_paths(fleet: Fleet, random: Random) -> list[Path]:
+    """Return the three paths of a latency fleet, warmed up and with no results."""
+    key = [(b"authorization", b"Bearer " + fleet.keys["shop-1"].encode())]
+    entry = fleet.members["front-1"].callers
+    paths = [
+        Path("direct", fleet.members["back-1"].server, "/back/far", []),
+        Path("one-node", entry, "/front/near", key),
+        Path("two-nodes", entry, "/back/far", key),
+    ]
+    await run_paths(paths, WARM_UP_S, random)
+    for path in paths:
+        path.reset()
+    return paths
+
+
 async def run_paths(paths: list[Path], seconds: float, random: Random) -> None:
     """Call each path in a Poisson process; half of the rate for each node's path."""
     async with anyio.create_task_group() as tasks:
