--- a/src/heathermount/config/__init__.py
+++ b/src/heathermount/config/__init__.py
@@ -1,17 +1,22 @@
 """Settings of a node and the fleet's declaration."""
 
-from heathermount.config.declaration import Declaration
-from heathermount.config.documents import (
-    Change,
-    FleetDocument,
-    decode_change,
-    decode_document,
-    diff_entries,
-    encode_message,
-)
-from heathermount.config.policy import Allotment, KeyOwner, Policy, Route, Treatment
-from heathermount.config.settings import Settings, StoreSettings
-from heathermount.config.tracker import ConfigTracker
+from typing import TYPE_CHECKING
+
+from heathermount.lazy import make_lazy_exports
+
+if TYPE_CHECKING:
+    from heathermount.config.declaration import Declaration
+    from heathermount.config.documents import (
+        Change,
+        FleetDocument,
+        decode_change,
+        decode_document,
+        diff_entries,
+        encode_message,
+    )
+    from heathermount.config.policy import Allotment, KeyOwner, Policy, Route, Treatment
+    from heathermount.config.settings import Settings, StoreSettings
+    from heathermount.config.tracker import ConfigTracker
 
 __all__ = [
     "Allotment",
@@ -30,3 +35,27 @@
     "diff_entries",
     "encode_message",
 ]
+
+__getattr__ = make_lazy_exports(
+    __name__,
+    {
+        "heathermount.config.declaration": ["Declaration"],
+        "heathermount.config.documents": [
+            "Change",
+            "FleetDocument",
+            "decode_change",
+            "decode_document",
+            "diff_entries",
+            "encode_message",
+        ],
+        "heathermount.config.policy": [
+            "Allotment",
+            "KeyOwner",
+            "Policy",
+            "Route",
+            "Treatment",
+        ],
+        "heathermount.config.settings": ["Settings", "StoreSettings"],
+        "heathermount.config.tracker": ["ConfigTracker"],
+    },
+)
--- /dev/null
+++ b/src/heathermount/config/durations.py
@@ -0,0 +1,17 @@
+"""Durations as text: a number and its unit, "1500ms" or "2.5s"."""
+
+import re
+from typing import Final
+
+__all__ = ["parse_duration"]
+
+PATTERN: Final = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+
+
+def parse_duration(text: str) -> float:
+    """Return a duration in seconds; raise ValueError for other text."""
+    match = PATTERN.fullmatch(text)
+    if match is None:
+        raise ValueError(f'{text!r} is no duration; write it like "1500ms" or "2.5s"')
+    number = float(match[1])
+    return number / 1000 if match[2] == "ms" else number
--- /dev/null
+++ b/src/heathermount/framing.py
@@ -0,0 +1,20 @@
+"""Header of the frames that nodes exchange: length, call number and kind."""
+
+import struct
+from enum import IntEnum
+from typing import Final
+
+__all__ = ["HEADER", "MAX_FRAME_BYTES", "Kind"]
+
+HEADER: Final = struct.Struct(">IQB")
+# A frame carries one body of at most a few MiB; anything longer is malformed.
+MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
+
+
+class Kind(IntEnum):
+    """Kind of a frame."""
+
+    REQUEST = 0
+    ANSWER = 1
+    CANCEL = 2
+    REJECTED = 3
--- /dev/null
+++ b/src/heathermount/gateway/configuration.py
@@ -0,0 +1,72 @@
+"""The configuration that a gateway node knows, and how old its proof is."""
+
+from typing import Final
+
+import msgspec
+from absl import logging
+
+from heathermount.clocks import Clock
+from heathermount.gateway.document import GatewayDocument, GatewayPolicy
+
+__all__ = ["ConfigurationTracker"]
+
+DOCUMENT_DECODER: Final = msgspec.msgpack.Decoder(GatewayDocument)
+
+
+class ConfigurationTracker:
+    """Holds the newest configuration; it never goes back to an older one.
+
+    `confirmed_at` is the latest time, of a clock that counts suspensions, at
+    which the version was certainly the newest.
+    """
+
+    __slots__ = ("_clock", "_freshness_s", "confirmed_at", "encoded", "policy")
+
+    def __init__(self, clock: Clock, freshness_s: float) -> None:
+        self._clock = clock
+        self._freshness_s = freshness_s
+        self.policy: GatewayPolicy | None = None
+        self.confirmed_at = float("-inf")
+        self.encoded = b""
+
+    @property
+    def version(self) -> int:
+        return self.policy.version if self.policy is not None else 0
+
+    def age_s(self) -> float:
+        """Return the age of the last proof, in seconds."""
+        return self._clock.monotonic() - self.confirmed_at
+
+    def fresh(self) -> bool:
+        """Tell whether a withdrawn key cannot have been missed for too long."""
+        return self.age_s() <= self._freshness_s
+
+    def apply(self, document: GatewayDocument, source: str) -> bool:
+        """Take a configuration; false when it is not newer."""
+        if document.version <= self.version:
+            return False
+        logging.info(
+            "event=configuration-applied version=%d previous=%d source=%s routes=%d",
+            document.version,
+            self.version,
+            source,
+            len(document.routes),
+        )
+        self.policy = GatewayPolicy.from_config(document)
+        self.encoded = msgspec.msgpack.encode(document)
+        return True
+
+    def confirm(self, at: float) -> None:
+        """Note that the version was the newest at a time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def learn(self, version: int, age_s: float, asked_at: float, data: bytes) -> None:
+        """Take what a peer answered to a question that was sent at `asked_at`."""
+        if data:
+            try:
+                self.apply(DOCUMENT_DECODER.decode(data), "peer")
+            except (msgspec.MsgspecError, RecursionError) as error:
+                logging.warning('event=configuration-malformed error="%s"', error)
+                return
+        if version == self.version:
+            self.confirm(asked_at - age_s)
--- /dev/null
+++ b/src/heathermount/gateway/entry.py
@@ -0,0 +1,415 @@
+"""The node a request enters at: checks, limits, and the choice of a server."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from hashlib import blake2b
+from random import Random
+from typing import Final
+
+from heathermount.admission import ThresholdTable
+from heathermount.clocks import Clock
+from heathermount.errors import PeerError, PeerLost, Refusal
+from heathermount.gateway.budget import RepeatBudget
+from heathermount.gateway.configuration import ConfigurationTracker
+from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.dialect import Dialect
+from heathermount.gateway.document import (
+    GatewayPolicy,
+    OrganisationEntry,
+    RouteEntry,
+    choose_target,
+    rank_request,
+)
+from heathermount.gateway.http import (
+    HOP_HEADERS,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
+from heathermount.gateway.links import LinkTable
+from heathermount.gateway.messages import Answer, Execute
+from heathermount.gateway.quota import QuotaShares
+from heathermount.gateway.refusals import make_refusal, refusal_of, response_of
+from heathermount.routing.balancer import Balancer, NoServer
+from heathermount.routing.members import Member
+from heathermount.values import COHORTS, Outcome, Reason
+
+__all__ = ["Entry"]
+
+# The answer reaches the client before its deadline by this much, in seconds.
+CLIENT_MARGIN_S: Final = 0.03
+
+# The executing node's answer at its deadline needs time to travel, in seconds.
+TRAVEL_S: Final = 0.03
+
+# Longest wait for the first connection to a peer, in seconds.
+CONNECT_WAIT_S: Final = 0.5
+
+# Attempts that cost no server anything, for one request.
+FREE_ATTEMPTS: Final = 3
+FREE_REASONS: Final = frozenset(
+    {Reason.DRAINING, Reason.NO_SERVER, Reason.CONFIGURATION_STALE}
+)
+
+
+class Call:
+    """One request on its way to a server."""
+
+    __slots__ = (
+        "deadline",
+        "free",
+        "maybe_ran",
+        "message",
+        "organisation",
+        "route",
+        "sends",
+        "tried",
+    )
+
+    def __init__(
+        self,
+        route: RouteEntry,
+        organisation: OrganisationEntry | None,
+        message: Execute,
+        deadline: float,
+    ) -> None:
+        self.route = route
+        self.organisation = organisation
+        self.message = message
+        # Monotonic time at which the client must have an answer.
+        self.deadline = deadline
+        self.tried: set[str] = set()
+        self.free = FREE_ATTEMPTS
+        # Sends that reached a server.
+        self.sends = 0
+        # True once an attempt ended without proof that it did not run.
+        self.maybe_ran = False
+
+    @property
+    def outcome(self) -> Outcome:
+        return Outcome.UNKNOWN if self.maybe_ran else Outcome.NOT_RUN
+
+
+class Entry:
+    """Takes requests from clients and from the local backend server."""
+
+    __slots__ = (
+        "_balancer",
+        "_budget",
+        "_clock",
+        "_dialect",
+        "_dropped_headers",
+        "_execute_here",
+        "_links",
+        "_log",
+        "_node",
+        "_quota",
+        "_random",
+        "_service",
+        "_thresholds",
+        "_tracker",
+    )
+
+    def __init__(
+        self,
+        node: str,
+        service: str,
+        dialect: Dialect,
+        tracker: ConfigurationTracker,
+        quota: QuotaShares,
+        budget: RepeatBudget,
+        balancer: Balancer,
+        links: LinkTable,
+        thresholds: ThresholdTable,
+        execute_here: Callable[[Execute], Awaitable[Answer]],
+        clock: Clock,
+        random: Random,
+        log: DecisionLog,
+    ) -> None:
+        self._log = log
+        self._node = node
+        self._service = service.encode()
+        self._dialect = dialect
+        self._tracker = tracker
+        self._quota = quota
+        self._budget = budget
+        self._balancer = balancer
+        self._links = links
+        self._thresholds = thresholds
+        self._execute_here = execute_here
+        self._clock = clock
+        self._random = random
+        self._dropped_headers = HOP_HEADERS | {
+            dialect.deadline,
+            dialect.key,
+            dialect.organisation,
+            dialect.caller_service,
+            dialect.expected_server,
+        }
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request of a client or of the backend server."""
+        try:
+            call = self._open(request)
+            answer = await self._charge_and_dispatch(call)
+            return HttpResponse(answer.status, answer.headers, answer.body)
+        except Refusal as refusal:
+            self._log_refusal(request, refusal)
+            response = response_of(refusal)
+            request_id = find_header(request.headers, self._dialect.request_id)
+            if request_id:
+                response.headers.append((self._dialect.request_id, request_id))
+            return response
+
+    def _log_refusal(self, request: HttpRequest, refusal: Refusal) -> None:
+        request_id = find_header(request.headers, self._dialect.request_id)
+        self._log.record(
+            "request-refused",
+            request=request_id.decode("latin-1"),
+            status=refusal.status,
+            reason=refusal.reason,
+            outcome=refusal.outcome,
+            version=self._tracker.version,
+            age_s=self._tracker.age_s(),
+        )
+
+    def _open(self, request: HttpRequest) -> Call:
+        """Check a request; raise Refusal when it may not pass."""
+        now = self._clock.monotonic()
+        policy = self._tracker.policy
+        if policy is None:
+            raise make_refusal(Reason.STARTING, Outcome.NOT_RUN)
+        dialect = self._dialect
+        host, path, request_id, waits, keys = b"", request.target, b"", b"", []
+        headers = []
+        for header in request.headers:
+            name, value = header
+            if name == b"host":
+                host = value
+            elif name == dialect.request_id:
+                request_id = value
+            elif name == dialect.deadline:
+                waits = value
+            elif name == dialect.key:
+                keys.append(value)
+            if name not in self._dropped_headers:
+                headers.append(header)
+        headers.append((dialect.caller_service, self._service))
+        route = self._match(policy, host, path)
+        organisation, digest = self._authenticate(policy, route, keys)
+        wait_s = dialect.read_deadline(waits) if waits else None
+        if wait_s is None:
+            wait_s = route.timeout_s
+        deadline = now + min(route.timeout_s, wait_s - CLIENT_MARGIN_S)
+        importance = rank_request(route, organisation)
+        message = Execute(
+            request_id=request_id,
+            service=choose_target(route, self._random),
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+            organisation=organisation.name if organisation is not None else "",
+            key_digest=digest,
+            importance=importance,
+            cohort=cohort_of(request_id),
+            deadline_s=0.0,
+            patience_s=0.0,
+            idempotent=route.idempotent,
+            resend=False,
+            version=policy.version,
+            fingerprint=b"",
+        )
+        return Call(route, organisation, message, deadline)
+
+    def _match(self, policy: GatewayPolicy, host: bytes, target: bytes) -> RouteEntry:
+        name = host.decode("latin-1").partition(":")[0].lower()
+        path = target.decode("latin-1").partition("?")[0]
+        route = policy.match(name, path)
+        if route is None:
+            if not self._tracker.fresh():
+                raise make_refusal(Reason.CONFIGURATION_STALE, Outcome.NOT_RUN)
+            raise make_refusal(Reason.ROUTE_UNKNOWN, Outcome.NOT_RUN)
+        return route
+
+    def _authenticate(
+        self, policy: GatewayPolicy, route: RouteEntry, keys: list[bytes]
+    ) -> tuple[OrganisationEntry | None, bytes]:
+        if route.public or not policy.needs_keys:
+            return None, b""
+        if not self._tracker.fresh():
+            raise make_refusal(Reason.CONFIGURATION_STALE, Outcome.NOT_RUN)
+        if len(keys) > 1:
+            raise make_refusal(Reason.MALFORMED, Outcome.NOT_RUN)
+        if not keys:
+            raise make_refusal(Reason.KEY_MISSING, Outcome.NOT_RUN)
+        owner = policy.authenticate(keys[0])
+        if owner is None:
+            raise make_refusal(Reason.KEY_UNKNOWN, Outcome.NOT_RUN)
+        return owner
+
+    async def _charge_and_dispatch(self, call: Call) -> Answer:
+        message = call.message
+        rejecting = self._thresholds.admits(
+            message.service, message.importance, message.cohort
+        )
+        if rejecting is not None:
+            raise make_refusal(
+                Reason.SHED, Outcome.NOT_RUN, self._random.uniform(0.3, 1.0)
+            )
+        if call.organisation is None:
+            return await self._dispatch(call)
+        await self._quota.acquire(call.organisation)
+        try:
+            return await self._dispatch(call)
+        except Refusal as refusal:
+            if refusal.outcome is Outcome.NOT_RUN:
+                self._quota.give_back(call.organisation)
+            raise
+
+    async def _dispatch(self, call: Call) -> Answer:
+        message = call.message
+        while True:
+            member = await self._choose(call)
+            call.tried.add(member.node)
+            answer = await self._attempt(call, member)
+            self._thresholds.observe(message.service, answer.thresholds)
+            if answer.sent:
+                call.sends += 1
+                if call.sends == 1 and call.organisation is not None:
+                    self._budget.sent(message.service)
+            if not answer.reason:
+                return answer
+            if answer.outcome != Outcome.NOT_RUN:
+                call.maybe_ran = True
+            if not self._may_repeat(call, answer):
+                refusal = refusal_of(answer)
+                raise make_refusal(refusal.reason, call.outcome, refusal.retry_after_s)
+
+    async def _choose(self, call: Call) -> Member:
+        service = call.message.service
+        members = self._balancer.members(service)
+        unusable = {
+            member.node
+            for member in members
+            if member.node != self._node and not self._links.usable(member.peers)
+        }
+        try:
+            return self._balancer.choose(service, unusable | call.tried)
+        except NoServer:
+            waiting = [m for m in members if m.node in unusable - call.tried]
+            if waiting and not call.tried:
+                for member in waiting:
+                    self._links.get(member.peers)
+                await self._wait_connected(waiting)
+                return self._balancer.choose(service, call.tried)
+            raise make_refusal(Reason.NO_SERVER, call.outcome) from None
+
+    async def _wait_connected(self, members: list[Member]) -> None:
+        """Wait until one of the members is connected, for a short time."""
+        tasks = [
+            asyncio.create_task(self._links.get(member.peers).connected.wait())
+            for member in members
+        ]
+        await asyncio.wait(
+            tasks, timeout=CONNECT_WAIT_S, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in tasks:
+            task.cancel()
+
+    async def _attempt(self, call: Call, member: Member) -> Answer:
+        message = call.message
+        remaining_s = call.deadline - self._clock.monotonic()
+        if remaining_s <= TRAVEL_S:
+            raise make_refusal(Reason.DEADLINE, call.outcome)
+        message.deadline_s = remaining_s - TRAVEL_S
+        message.patience_s = message.deadline_s
+        self._balancer.started(member)
+        answer: Answer | None = None
+        failed: bool | None = None
+        try:
+            if member.node == self._node:
+                answer = await self._run_here(message, remaining_s)
+            else:
+                answer = await self._run_there(call, member, remaining_s)
+            return answer
+        except PeerError as error:
+            failed = True
+            outcome = Outcome.UNKNOWN if error.sent else Outcome.NOT_RUN
+            refusal = make_refusal(
+                Reason.SERVER_FAILED if error.sent else Reason.NO_SERVER, outcome
+            )
+            self._log.record(
+                "peer-failed",
+                request=message.request_id.decode("latin-1"),
+                peer=member.node,
+                sent=error.sent,
+                error=str(error),
+            )
+            return Answer(refusal.status, [], b"", outcome, refusal.reason)
+        except TimeoutError:
+            return Answer(504, [], b"", Outcome.UNKNOWN, Reason.DEADLINE, sent=True)
+        finally:
+            success = judge(answer) if failed is None else False
+            self._balancer.finished(
+                member, success, answer.load if answer is not None else None
+            )
+
+    async def _run_here(self, message: Execute, remaining_s: float) -> Answer:
+        async with asyncio.timeout(remaining_s):
+            if message.idempotent:
+                return await self._execute_here(message)
+            # A run that may not be repeated goes on when its client leaves.
+            run = asyncio.ensure_future(self._execute_here(message))
+            return await asyncio.shield(run)
+
+    async def _run_there(
+        self, call: Call, member: Member, remaining_s: float
+    ) -> Answer:
+        link = self._links.get(member.peers)
+        number, future = link.start_call(call.message)
+        try:
+            async with asyncio.timeout(remaining_s):
+                answer = await future
+        except BaseException:
+            if call.message.idempotent:
+                link.cancel_call(number)
+            else:
+                link.forget_call(number)
+            raise
+        if not isinstance(answer, Answer):
+            raise PeerLost(f"{member.node} sent another message than an answer")
+        return answer
+
+    def _may_repeat(self, call: Call, answer: Answer) -> bool:
+        """Decide whether to send a request to another server.
+
+        Only with proof that it has not run. An attempt that cost no server
+        anything is free; one that reached a server draws on the budget.
+        """
+        if answer.outcome != Outcome.NOT_RUN:
+            return False
+        if not answer.sent:
+            if answer.reason not in FREE_REASONS or call.free < 1:
+                return False
+            call.free -= 1
+            return True
+        if call.sends >= call.route.max_attempts:
+            return False
+        return self._budget.take(call.message.service)
+
+
+def cohort_of(request_id: bytes) -> int:
+    """Return the cohort of a request: a hash of its identifier."""
+    return blake2b(request_id, digest_size=1).digest()[0] % COHORTS
+
+
+def judge(answer: Answer | None) -> bool | None:
+    """Tell whether an answer speaks for its server; None if it tells nothing."""
+    if answer is None:
+        return None
+    if not answer.reason:
+        return answer.status < 500
+    if answer.reason in (Reason.SERVER_FAILED, Reason.ANSWER_BROKEN, Reason.NO_SERVER):
+        return False
+    return None if answer.reason == Reason.DEADLINE else True
--- /dev/null
+++ b/src/heathermount/gateway/execution.py
@@ -0,0 +1,367 @@
+"""The node beside a backend server: admission and the run itself."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+import msgspec
+from absl import logging
+
+from heathermount.admission import (
+    AdmissionController,
+    DeadlinePassed,
+    Draining,
+    Permit,
+    RunResult,
+    Shed,
+    Ticket,
+)
+from heathermount.clocks import Clock
+from heathermount.config.settings import PolicySettings
+from heathermount.errors import Refusal
+from heathermount.events import EventLog
+from heathermount.gateway.configuration import ConfigurationTracker
+from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.dialect import Dialect
+from heathermount.gateway.http import find_header
+from heathermount.gateway.messages import Answer, Execute
+from heathermount.gateway.refusals import answer_of, make_refusal
+from heathermount.gateway.upstream import (
+    ServerAnswer,
+    ServerBroke,
+    ServerPool,
+    ServerUnreachable,
+)
+from heathermount.invariants import Invariants
+from heathermount.values import Load, Outcome, Reason, ServiceThreshold
+
+__all__ = ["Announcement", "Execution"]
+
+# The server answers itself at the deadline that it is given; its answer gets
+# this long to arrive, in seconds.
+ANSWER_GRACE_S: Final = 0.1
+
+# Connections kept free below the server's limit for its own probes and for
+# callers that the node does not know.
+SPARE_CONNECTIONS: Final = 8
+
+# Statuses with which a server tells that it has not run a request.
+MISDIRECTED: Final = 421
+
+BODY_METHODS: Final = frozenset({b"POST", b"PUT", b"PATCH"})
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """What a backend server says of itself."""
+
+    server_id: str
+    service: str
+    address: str
+    slots: int
+    draining: bool
+    cold_start_s: float
+    # Start of the server, in milliseconds since the Unix epoch, and the number
+    # of the announcement since then; together they order announcements.
+    born_ms: int
+    sequence: int
+
+    def follows(self, other: "Announcement") -> bool:
+        return (self.born_ms, self.sequence) >= (other.born_ms, other.sequence)
+
+
+class Execution:
+    """Runs requests at the backend server beside this node, or refuses them."""
+
+    __slots__ = (
+        "_clock",
+        "_dialect",
+        "_drain_s",
+        "_events",
+        "_invariants",
+        "_left_at",
+        "_log",
+        "_pool",
+        "_random",
+        "_service",
+        "_settings",
+        "_tracker",
+        "_updated",
+        "admission",
+        "announcement",
+        "deeper_thresholds",
+        "leaving",
+        "running",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        dialect: Dialect,
+        tracker: ConfigurationTracker,
+        clock: Clock,
+        random: Random,
+        events: EventLog,
+        invariants: Invariants,
+        log: DecisionLog,
+        settings: PolicySettings,
+        drain_s: float,
+        updated: Callable[[], None],
+        deeper_thresholds: Callable[[], list[ServiceThreshold]],
+    ) -> None:
+        self._service = service
+        self._dialect = dialect
+        self._tracker = tracker
+        self._clock = clock
+        self._random = random
+        self._events = events
+        self._invariants = invariants
+        self._log = log
+        self._settings = settings
+        # Time after which a leaving server must get no more requests, in seconds.
+        self._drain_s = drain_s
+        self._updated = updated
+        self._left_at = 0.0
+        self._pool: ServerPool | None = None
+        self.admission: AdmissionController | None = None
+        self.announcement: Announcement | None = None
+        self.deeper_thresholds = deeper_thresholds
+        # True after the backend server told that it leaves.
+        self.leaving = False
+        self.running = 0
+
+    @property
+    def serving(self) -> bool:
+        return self.announcement is not None and not self.leaving
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take what the backend server says of itself; older news is ignored."""
+        known = self.announcement
+        if known is not None and not announcement.follows(known):
+            return
+        self.announcement = announcement
+        if known is None or not same_start(known, announcement):
+            self._start(announcement)
+        elif announcement.draining:
+            self._leave("draining")
+        elif self.leaving and known.draining:
+            self._start(announcement)
+
+    def withdraw(self, server_id: str) -> None:
+        """Take the backend server out of service: it has left."""
+        known = self.announcement
+        if known is not None and known.server_id == server_id:
+            self._leave("gone")
+
+    def _start(self, announcement: Announcement) -> None:
+        if self._pool is not None:
+            self._pool.close()
+        self._pool = ServerPool(
+            announcement.address, self._dialect.request_id, self._connections()
+        )
+        self.admission = AdmissionController.from_config(
+            self._settings,
+            self._clock,
+            self._random,
+            announcement.slots,
+            self._events,
+            self._invariants,
+        )
+        self.leaving = False
+        logging.info(
+            "event=server-announced server=%s slots=%d cold_s=%.1f",
+            announcement.server_id,
+            announcement.slots,
+            announcement.cold_start_s,
+        )
+        if announcement.draining:
+            self._leave("draining")
+        self._updated()
+
+    def _leave(self, cause: str) -> None:
+        if self.leaving:
+            return
+        self.leaving = True
+        self._left_at = self._clock.monotonic()
+        logging.info("event=server-leaving cause=%s running=%d", cause, self.running)
+        self._updated()
+
+    def _connections(self) -> int:
+        policy = self._tracker.policy
+        service = policy.service(self._service) if policy is not None else None
+        limit = service.connections if service is not None else 0
+        slots = self.announcement.slots if self.announcement is not None else 1
+        return max(slots, limit - SPARE_CONNECTIONS)
+
+    def load(self) -> Load | None:
+        return self.admission.load() if self.admission is not None else None
+
+    async def execute(self, message: Execute) -> Answer:
+        """Run a request or refuse it; the answer carries load and thresholds."""
+        deadline = self._clock.monotonic() + message.deadline_s
+        try:
+            answer = await self._admit_and_run(message, deadline)
+        except Refusal as refusal:
+            if isinstance(refusal, (Shed, DeadlinePassed, Draining)):
+                refusal = make_refusal(
+                    refusal.reason, refusal.outcome, refusal.retry_after_s
+                )
+            self._log.record(
+                "execution-refused",
+                request=message.request_id.decode("latin-1"),
+                reason=refusal.reason,
+                running=self.running,
+                importance=message.importance,
+            )
+            answer = answer_of(refusal)
+        answer.thresholds = self.deeper_thresholds()
+        if self.admission is not None:
+            answer.load = self.admission.load()
+            answer.thresholds.append(
+                ServiceThreshold(self._service, self.admission.threshold())
+            )
+        return answer
+
+    async def _admit_and_run(self, message: Execute, deadline: float) -> Answer:
+        if self.leaving:
+            raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
+        admission = self.admission
+        if admission is None or message.service != self._service:
+            raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
+        patience = self._clock.monotonic() + message.patience_s
+        ticket = Ticket(
+            message.request_id.decode("latin-1"),
+            message.organisation,
+            1,
+            message.importance,
+            message.cohort,
+            min(deadline, patience),
+            message.resend,
+        )
+        permit = await admission.admit(ticket)
+        result = RunResult.CANCELLED
+        self.running += 1
+        try:
+            self._check_before_run(message)
+            answer, result = await self._run(message, deadline)
+            return answer
+        finally:
+            self.running -= 1
+            self._release(admission, permit, result)
+
+    def _release(
+        self, admission: AdmissionController, permit: Permit, result: RunResult
+    ) -> None:
+        admission.release(permit, result)
+
+    def _check_before_run(self, message: Execute) -> None:
+        """Refuse what must not start now: state may have changed in the queue."""
+        if self.leaving:
+            left_s = self._clock.monotonic() - self._left_at
+            if left_s > self._drain_s / 2:
+                raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
+        if not message.key_digest:
+            return
+        tracker = self._tracker
+        policy = tracker.policy
+        if policy is None or not tracker.fresh():
+            raise make_refusal(Reason.CONFIGURATION_STALE, Outcome.NOT_RUN)
+        # The entry node may know a newer version than this node. It was made
+        # after this node's last proof, so what it allowed is recent enough.
+        if message.version > policy.version:
+            return
+        if policy.key_organisation(message.key_digest) != message.organisation:
+            raise make_refusal(Reason.KEY_WITHDRAWN, Outcome.NOT_RUN)
+
+    async def _run(self, message: Execute, deadline: float) -> tuple[Answer, RunResult]:
+        pool, announcement = self._pool, self.announcement
+        assert pool is not None and announcement is not None
+        remaining_s = deadline - self._clock.monotonic()
+        if remaining_s <= 0.0:
+            raise make_refusal(Reason.DEADLINE, Outcome.NOT_RUN)
+        data = self._encode(message, announcement.server_id, remaining_s)
+        head = message.method == b"HEAD"
+        try:
+            async with asyncio.timeout(remaining_s + ANSWER_GRACE_S):
+                answer = await pool.exchange(data, message.request_id, head)
+        except TimeoutError:
+            refusal = make_refusal(Reason.DEADLINE, Outcome.UNKNOWN)
+            return answer_of(refusal, sent=True), RunResult.FAILED
+        except ServerUnreachable as error:
+            self._log.record("server-unreachable", error=str(error))
+            refusal = make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
+            return answer_of(refusal), RunResult.FAILED
+        except ServerBroke as error:
+            return self._broken(message, error)
+        return self._judge(message, answer)
+
+    def _broken(self, message: Execute, error: ServerBroke) -> tuple[Answer, RunResult]:
+        self._log.record(
+            "answer-broken",
+            request=message.request_id.decode("latin-1"),
+            answering=error.answering,
+            error=str(error),
+        )
+        reason = Reason.ANSWER_BROKEN if error.answering else Reason.SERVER_FAILED
+        answer = answer_of(make_refusal(reason, Outcome.UNKNOWN), sent=True)
+        answer.crashed = not error.answering
+        return answer, RunResult.CRASHED
+
+    def _judge(
+        self, message: Execute, answer: ServerAnswer
+    ) -> tuple[Answer, RunResult]:
+        dialect = self._dialect
+        load = dialect.read_load(find_header(answer.headers, dialect.server_load))
+        if load is not None and self.admission is not None:
+            self.admission.report_server(load.queued)
+        if answer.status == MISDIRECTED:
+            # Another server has the address now.
+            self._leave("replaced")
+            refusal = make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
+            return answer_of(refusal, sent=True), RunResult.FAILED
+        if find_header(answer.headers, dialect.not_executed):
+            refusal = make_refusal(Reason.SHED, Outcome.NOT_RUN)
+            return answer_of(refusal, sent=True), RunResult.SHED_BY_SERVER
+        signed = bool(find_header(answer.headers, dialect.signature))
+        if 200 <= answer.status < 300 and not signed:
+            request = message.request_id.decode("latin-1")
+            self._log.record("answer-unsigned", request=request)
+            refusal = make_refusal(Reason.ANSWER_BROKEN, Outcome.UNKNOWN)
+            return answer_of(refusal, sent=True), RunResult.FAILED
+        result = RunResult.FAILED if answer.status >= 500 else RunResult.OK
+        return (
+            Answer(answer.status, answer.headers, answer.body, Outcome.RAN, sent=True),
+            result,
+        )
+
+    def _encode(self, message: Execute, server_id: str, remaining_s: float) -> bytes:
+        dialect = self._dialect
+        parts = [b"%b %b HTTP/1.1\r\n" % (message.method, message.target)]
+        parts += [b"%b: %b\r\n" % header for header in message.headers]
+        parts.append(
+            b"%b: %b\r\n%b: %b\r\n"
+            % (
+                dialect.deadline,
+                dialect.write_deadline(remaining_s),
+                dialect.expected_server,
+                server_id.encode(),
+            )
+        )
+        if message.organisation:
+            parts.append(
+                b"%b: %b\r\n" % (dialect.organisation, message.organisation.encode())
+            )
+        if message.body or message.method in BODY_METHODS:
+            parts.append(b"content-length: %d\r\n" % len(message.body))
+        parts.append(b"\r\n")
+        parts.append(message.body)
+        return b"".join(parts)
+
+
+def same_start(one: Announcement, other: Announcement) -> bool:
+    return (one.server_id, one.born_ms, one.address, one.slots) == (
+        other.server_id,
+        other.born_ms,
+        other.address,
+        other.slots,
+    )
--- /dev/null
+++ b/src/heathermount/gateway/messages.py
@@ -0,0 +1,106 @@
+"""Messages on the links between gateway nodes."""
+
+from typing import Final
+
+import msgspec
+
+from heathermount.values import Load, ServiceThreshold
+
+__all__ = [
+    "MESSAGE_DECODER",
+    "MESSAGE_ENCODER",
+    "Answer",
+    "Execute",
+    "Headers",
+    "Message",
+    "Ping",
+    "Pong",
+    "TokenGrant",
+    "TokenRequest",
+]
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Execute(msgspec.Struct, tag=1, array_like=True):
+    """Ask the node beside a backend server to run a request."""
+
+    request_id: bytes
+    service: str
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    # Organisation and digest of its key; empty for requests without a key.
+    organisation: str
+    key_digest: bytes
+    importance: int
+    cohort: int
+    # Remaining time when the message was sent, in seconds.
+    deadline_s: float
+    # Longest useful wait in the queue, in seconds.
+    patience_s: float
+    idempotent: bool
+    # True when the request comes back after an earlier attempt of this client.
+    resend: bool
+    version: int
+    fingerprint: bytes
+
+
+class Answer(msgspec.Struct, tag=2, array_like=True):
+    """Result of Execute: the backend server's answer or a refusal."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    outcome: str
+    # Empty when the answer is the backend server's own.
+    reason: str = ""
+    retry_after_s: float = 0.0
+    # True when the request was sent to the backend server at all.
+    sent: bool = False
+    # True when the connection to the backend server broke while it ran.
+    crashed: bool = False
+    load: Load | None = None
+    thresholds: list[ServiceThreshold] = []
+
+
+class Ping(msgspec.Struct, tag=3, array_like=True):
+    """Probe of a link; it carries what the sender knows of the configuration."""
+
+    node: str
+    version: int
+    # Age of the sender's last proof that its version is the newest, in seconds.
+    age_s: float
+
+
+class Pong(msgspec.Struct, tag=4, array_like=True):
+    """Answer to Ping; `configuration` is set when the sender of the ping is behind."""
+
+    version: int
+    age_s: float
+    load: Load | None
+    serving: bool
+    configuration: bytes = b""
+
+
+class TokenRequest(msgspec.Struct, tag=5, array_like=True):
+    """Ask a quota holder for tokens of one organisation."""
+
+    organisation: str
+    amount: int
+
+
+class TokenGrant(msgspec.Struct, tag=6, array_like=True):
+    """Tokens granted, and the wait until one more, in seconds."""
+
+    amount: int
+    retry_after_s: float
+
+
+Message = Execute | Answer | Ping | Pong | TokenRequest | TokenGrant
+
+MESSAGE_ENCODER: Final = msgspec.msgpack.Encoder()
+MESSAGE_DECODER: Final[msgspec.msgpack.Decoder[Message]] = msgspec.msgpack.Decoder(
+    Message
+)
--- /dev/null
+++ b/src/heathermount/gateway/node.py
@@ -0,0 +1,423 @@
+"""A gateway node: its parts, its listeners and its life cycle."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any, Final, Protocol, Self
+
+from absl import logging
+
+from heathermount.admission import ThresholdTable
+from heathermount.clocks import Clock
+from heathermount.config.durations import parse_duration
+from heathermount.errors import PeerUnreachable, StoreOutcomeUnknown, StoreUnavailable
+from heathermount.events import EventLog
+from heathermount.gateway.budget import RepeatBudget
+from heathermount.gateway.configuration import ConfigurationTracker
+from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.dialect import Dialect
+from heathermount.gateway.document import GatewayDocument
+from heathermount.gateway.entry import Entry
+from heathermount.gateway.execution import Execution
+from heathermount.gateway.http import (
+    Handler,
+    HttpConnection,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+)
+from heathermount.gateway.links import LinkTable, PeerConnection
+from heathermount.gateway.messages import (
+    Execute,
+    Message,
+    Ping,
+    Pong,
+    TokenGrant,
+    TokenRequest,
+)
+from heathermount.gateway.quota import QuotaShares
+from heathermount.gateway.registry import NodeRecord, Registry, ServerRecord
+from heathermount.gateway.settings import GatewaySettings
+from heathermount.invariants import Invariants
+from heathermount.routing.balancer import Balancer
+from heathermount.routing.members import Member
+from heathermount.store.interface import HistoryLost, WatchedStore
+from heathermount.values import ServiceThreshold
+
+__all__ = ["ConfigurationReader", "GatewayNode"]
+
+# Wait of one watch of the configuration, in seconds. Each return proves that the
+# configuration was current when the watch was sent.
+WATCH_S: Final = 1.2
+
+# Share of the revocation bound for which a proof counts. The rest covers the
+# delivery of a request and what the store's watches may miss for a second.
+FRESHNESS_SHARE: Final = 0.7
+
+# Pause after a failed call to the store, in seconds.
+RETRY_S: Final = 0.3
+
+# A stopping node still takes requests for this share of the grace period, until
+# its clients have noticed that it is not ready.
+SERVE_SHARE: Final = 0.5
+# Share of the grace period after which the process ends in any case.
+END_SHARE: Final = 0.92
+
+# Pause between looks whether anything still runs, in seconds.
+POLL_S: Final = 0.05
+
+BACKLOG: Final = 1024
+
+TOKEN_TIMEOUT_S: Final = 0.25
+
+
+class ConfigurationReader(Protocol):
+    """Reads the operators' configuration from the store."""
+
+    async def read(self) -> tuple[GatewayDocument | None, int]:
+        """Return the newest valid configuration and the store's revision."""
+
+    async def wait(self, after: int, wait_s: float) -> tuple[bool, int]:
+        """Wait for a change; return whether there was one, and the revision.
+
+        Raises HistoryLost when the store cannot tell.
+        """
+
+
+class GatewayNode:
+    """One process beside one backend server."""
+
+    __slots__ = (
+        "_balancer",
+        "_budget",
+        "_clients",
+        "_clock",
+        "_entry",
+        "_links",
+        "_observers",
+        "_peers",
+        "_quota",
+        "_reader",
+        "_servers",
+        "_services",
+        "_settings",
+        "_stopping",
+        "_thresholds",
+        "_tracker",
+        "execution",
+        "registry",
+    )
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: WatchedStore,
+        reader: ConfigurationReader,
+        dialect: Dialect,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        node = settings.node
+        self._settings = settings
+        self._reader = reader
+        self._clock = clock
+        log = DecisionLog(clock)
+        events = EventLog(node.name, clock)
+        revocation_s = parse_duration(settings.bounds.revocation)
+        self._tracker = ConfigurationTracker(clock, FRESHNESS_SHARE * revocation_s)
+        self._balancer = Balancer(clock, random, node.failure_domain)
+        self._budget = RepeatBudget(settings.repeat_limits, clock)
+        self._links = LinkTable(clock, self._make_ping, self._pinged)
+        self._thresholds = ThresholdTable.from_config(settings.policy, clock)
+        self._quota = QuotaShares(node.name, clock, self._ask_tokens, node.first_start)
+        self.execution = Execution(
+            node.service,
+            dialect,
+            self._tracker,
+            clock,
+            random,
+            events,
+            Invariants(events),
+            log,
+            settings.policy,
+            parse_duration(settings.bounds.drain),
+            self._server_changed,
+            list[ServiceThreshold],
+        )
+        self._entry = Entry(
+            node.name,
+            node.service,
+            dialect,
+            self._tracker,
+            self._quota,
+            self._budget,
+            self._balancer,
+            self._links,
+            self._thresholds,
+            self.execution.execute,
+            clock,
+            random,
+            log,
+        )
+        record = NodeRecord(
+            node.name,
+            secrets.token_hex(4),
+            settings.listen.peers,
+            node.service,
+            node.failure_domain,
+            None,
+        )
+        self.registry = Registry(
+            store,
+            clock,
+            record,
+            self._nodes_changed,
+            lambda other: self._links.usable(other.address),
+        )
+        self._services: set[str] = set()
+        self._clients: set[HttpConnection] = set()
+        self._observers: set[HttpConnection] = set()
+        self._peers: set[PeerConnection] = set()
+        self._servers: list[asyncio.Server] = []
+        self._stopping = asyncio.Event()
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: GatewaySettings,
+        store: WatchedStore,
+        reader: ConfigurationReader,
+        dialect: Dialect,
+        clock: Clock,
+    ) -> Self:
+        return cls(settings, store, reader, dialect, clock, Random())
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self._stopping.set()
+
+    async def run(self, control: Handler) -> None:
+        """Serve until `stop`, then finish what runs; `control` takes heartbeats."""
+        logging.info(
+            "event=node-started node=%s service=%s",
+            self._settings.node.name,
+            self._settings.node.service,
+        )
+        await self._listen(control)
+        background = [
+            asyncio.create_task(keep_running(loop))
+            for loop in (
+                self.registry.maintain,
+                self.registry.follow,
+                self._follow_configuration,
+            )
+        ]
+        await self._stopping.wait()
+        background[0].cancel()
+        await self._drain()
+        for task in background:
+            task.cancel()
+        logging.info("event=node-stopped node=%s", self._settings.node.name)
+
+    async def _listen(self, control: Handler) -> None:
+        listen = self._settings.listen
+        loop = asyncio.get_running_loop()
+
+        def accept(
+            handler: Handler, connections: set[HttpConnection]
+        ) -> Callable[[], HttpConnection]:
+            return lambda: HttpConnection(
+                handler, self._limits, connections, self._stopping.is_set
+            )
+
+        factories: dict[str, Callable[[], asyncio.Protocol]] = {
+            listen.outbound: accept(self._entry.handle, self._clients),
+            listen.readiness: accept(self._observe, self._observers),
+            listen.control: accept(control, self._observers),
+            listen.peers: lambda: PeerConnection(self._answer_peer, self._peers),
+        }
+        for address, factory in factories.items():
+            host, _, port = address.rpartition(":")
+            server = await loop.create_server(
+                factory, host, int(port), backlog=BACKLOG, reuse_address=True
+            )
+            self._servers.append(server)
+
+    def _limits(self) -> HttpLimits:
+        policy = self._tracker.policy
+        return policy.limits if policy is not None else HttpLimits()
+
+    async def _observe(self, request: HttpRequest) -> HttpResponse:
+        reasons = self.unready_reasons()
+        status = 503 if reasons else 200
+        return HttpResponse(status, [], " ".join(reasons).encode())
+
+    def unready_reasons(self) -> list[str]:
+        """Return why clients should not use this node; empty when it is ready."""
+        reasons = []
+        if self._stopping.is_set():
+            reasons.append("stopping")
+        if self._tracker.policy is None:
+            reasons.append("no-configuration")
+        if not self.registry.synchronised:
+            reasons.append("no-registry")
+        return reasons
+
+    # Peers.
+
+    async def _answer_peer(self, message: Message) -> Message:
+        if isinstance(message, Execute):
+            return await self.execution.execute(message)
+        if isinstance(message, Ping):
+            return self._make_pong(message)
+        if isinstance(message, TokenRequest):
+            return self._lend_tokens(message)
+        raise ValueError(f"a peer sent {type(message).__name__}, which is no call")
+
+    def _make_ping(self) -> Ping:
+        tracker = self._tracker
+        return Ping(self._settings.node.name, tracker.version, tracker.age_s())
+
+    def _make_pong(self, ping: Ping) -> Pong:
+        tracker = self._tracker
+        behind = ping.version < tracker.version
+        return Pong(
+            tracker.version,
+            tracker.age_s(),
+            self.execution.load(),
+            self.execution.serving,
+            tracker.encoded if behind else b"",
+        )
+
+    def _pinged(self, address: str, pong: Pong, asked_at: float) -> None:
+        self._tracker.learn(pong.version, pong.age_s, asked_at, pong.configuration)
+
+    def _lend_tokens(self, request: TokenRequest) -> TokenGrant:
+        policy = self._tracker.policy
+        organisation = policy and policy.organisation(request.organisation)
+        if not organisation:
+            return TokenGrant(0, 1.0)
+        return self._quota.lend(organisation, request.amount)
+
+    async def _ask_tokens(self, holder: str, request: TokenRequest) -> TokenGrant:
+        record = self.registry.nodes.get(holder)
+        if record is None:
+            raise PeerUnreachable(f"{holder} is not registered")
+        link = self._links.get(record.address)
+        answer = await link.call(request, TOKEN_TIMEOUT_S)
+        if not isinstance(answer, TokenGrant):
+            raise PeerUnreachable(f"{holder} sent another message than a grant")
+        return answer
+
+    # Membership.
+
+    def _server_changed(self) -> None:
+        announcement = self.execution.announcement
+        server = None
+        if announcement is not None and self.execution.serving:
+            server = ServerRecord(
+                announcement.server_id,
+                announcement.slots,
+                announcement.cold_start_s,
+                time.time(),
+            )
+        self.registry.update(server)
+
+    def _nodes_changed(self) -> None:
+        nodes = self.registry.nodes
+        services: dict[str, list[Member]] = {service: [] for service in self._services}
+        for record in nodes.values():
+            members = services.setdefault(record.service, [])
+            if record.server is not None:
+                members.append(make_member(record))
+        self._services = set(services)
+        for service, members in services.items():
+            self._balancer.update(service, members)
+        self._quota.update_nodes(list(nodes))
+        self._budget.nodes = len(nodes)
+        own = self._settings.node.name
+        addresses = {one.address for one in nodes.values() if one.node != own}
+        self._links.retain(addresses)
+        for address in addresses:
+            self._links.get(address)
+
+    # Configuration.
+
+    async def _follow_configuration(self) -> None:
+        revision = 0
+        while True:
+            asked_at = self._clock.monotonic()
+            try:
+                if revision:
+                    changed, revision = await self._reader.wait(revision, WATCH_S)
+                else:
+                    changed = True
+                if changed:
+                    asked_at = self._clock.monotonic()
+                    document, revision = await self._reader.read()
+                    if document is not None:
+                        self._tracker.apply(document, "store")
+                self._tracker.confirm(asked_at)
+            except HistoryLost:
+                revision = 0
+            except (StoreUnavailable, StoreOutcomeUnknown) as error:
+                logging.log_every_n_seconds(
+                    logging.WARNING,
+                    'event=configuration-unreadable age_s=%.2f error="%s"',
+                    1,
+                    self._tracker.age_s(),
+                    error,
+                )
+                await asyncio.sleep(RETRY_S)
+
+    # Stop.
+
+    async def _drain(self) -> None:
+        """Serve until the clients have left, then finish what runs."""
+        grace_s = parse_duration(self._settings.bounds.grace)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        logging.info("event=node-stopping clients=%d", len(self._clients))
+        await self.registry.withdraw()
+        for client in list(self._clients):
+            client.close_when_idle()
+        await asyncio.sleep(SERVE_SHARE * grace_s)
+        for server in self._servers:
+            server.close()
+        await self._finish(started + END_SHARE * grace_s)
+        self._links.close()
+
+    async def _finish(self, until: float) -> None:
+        """Wait until nothing runs any more, or until a time of the event loop."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            busy = any(client.busy for client in self._clients)
+            if not busy and not self.execution.running:
+                return
+            await asyncio.sleep(POLL_S)
+
+
+async def keep_running(loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run an endless loop again after an unexpected error."""
+    while True:
+        try:
+            await loop()
+        except Exception:
+            logging.exception("event=background-failed")
+            await asyncio.sleep(RETRY_S)
+
+
+def make_member(record: NodeRecord) -> Member:
+    server = record.server
+    assert server is not None
+    return Member(
+        record.node,
+        f"{record.incarnation}/{server.server_id}",
+        record.address,
+        record.failure_domain,
+        server.slots,
+        server.cold_start_s,
+        server.joined_at,
+    )
--- /dev/null
+++ b/src/heathermount/gateway/quota.py
@@ -0,0 +1,236 @@
+"""Rates and bursts of organisations, divided over the nodes of the fleet."""
+
+import math
+from collections.abc import Awaitable, Callable, Sequence
+from hashlib import blake2b
+from typing import Final
+
+from heathermount.clocks import Clock
+from heathermount.errors import PeerError
+from heathermount.gateway.document import OrganisationEntry
+from heathermount.gateway.messages import TokenGrant, TokenRequest
+from heathermount.gateway.refusals import make_refusal
+from heathermount.values import Outcome, Reason
+
+__all__ = ["QuotaShares", "choose_holders"]
+
+# Rate of one share, in requests per second. A node that wrongly counts itself
+# as a holder for a moment adds at most one share.
+SHARE_RATE: Final = 4.0
+
+# Holders asked for tokens before a request is refused.
+MAX_ASKED: Final = 3
+
+# Tokens asked for beyond the one that is needed, in seconds of recent demand.
+BATCH_S: Final = 0.2
+MAX_BATCH: Final = 20
+
+# Tokens fetched from other nodes are dropped after this time, in seconds, so
+# that they do not add to the burst later.
+PURSE_S: Final = 0.5
+
+# Wait suggested when no holder can be asked, in seconds.
+UNKNOWN_WAIT_S: Final = 1.0
+MIN_WAIT_S: Final = 0.05
+
+AskHolder = Callable[[str, TokenRequest], Awaitable[TokenGrant]]
+
+
+def choose_holders(organisation: OrganisationEntry, nodes: Sequence[str]) -> list[str]:
+    """Return the nodes that hold shares of an organisation's limits.
+
+    Rendezvous hash: all nodes with the same view choose the same holders.
+    """
+    count = max(1, math.ceil(organisation.rate / SHARE_RATE))
+    if count >= len(nodes):
+        return sorted(nodes)
+    name = organisation.name.encode()
+    return sorted(
+        nodes, key=lambda n: blake2b(name + b"/" + n.encode(), digest_size=8).digest()
+    )[:count]
+
+
+class ShareBucket:
+    """Token bucket of this node's share of one organisation."""
+
+    __slots__ = ("capacity", "filled_at", "level", "rate")
+
+    def __init__(self, rate: float, capacity: float, level: float, now: float) -> None:
+        self.rate = rate
+        self.capacity = capacity
+        self.level = level
+        self.filled_at = now
+
+    def fill(self, now: float) -> None:
+        accrued = max(0.0, now - self.filled_at) * self.rate
+        self.level = min(self.capacity, self.level + accrued)
+        self.filled_at = now
+
+    def resize(self, rate: float, capacity: float) -> None:
+        self.rate = rate
+        self.capacity = capacity
+        self.level = min(self.level, capacity)
+
+    def wait_s(self) -> float:
+        """Return the seconds until one token is there."""
+        if self.rate <= 0.0:
+            return UNKNOWN_WAIT_S
+        return max(0.0, (1.0 - self.level) / self.rate)
+
+
+class Demand:
+    """Requests per second of one organisation at this node, averaged."""
+
+    __slots__ = ("_count", "_updated_at", "fetched", "fetched_at")
+
+    def __init__(self, now: float) -> None:
+        self._count = 0.0
+        self._updated_at = now
+        # Tokens from other nodes that are still valid, and when they came.
+        self.fetched = 0
+        self.fetched_at = now
+
+    def add(self, now: float) -> None:
+        self._count = self._count * math.exp(self._updated_at - now) + 1.0
+        self._updated_at = now
+
+    def batch(self) -> int:
+        return min(MAX_BATCH, 1 + int(self._count * BATCH_S))
+
+    def take_fetched(self, now: float) -> bool:
+        if now - self.fetched_at > PURSE_S:
+            self.fetched = 0
+        if self.fetched < 1:
+            return False
+        self.fetched -= 1
+        return True
+
+
+class QuotaShares:
+    """Spends and lends tokens of this node's shares.
+
+    Each token is made at one node, so that all nodes together never exceed an
+    organisation's limits while they agree on the holders. A node that starts
+    while the fleet runs begins with empty shares, because its last incarnation
+    may have spent them.
+    """
+
+    __slots__ = (
+        "_ask",
+        "_buckets",
+        "_clock",
+        "_demands",
+        "_full",
+        "_holders",
+        "_node",
+        "_nodes",
+    )
+
+    def __init__(self, node: str, clock: Clock, ask: AskHolder, full: bool) -> None:
+        self._node = node
+        self._clock = clock
+        self._ask = ask
+        # Whether new shares start full: only when the whole fleet starts.
+        self._full = full
+        self._nodes: list[str] = [node]
+        self._holders: dict[str, tuple[OrganisationEntry, list[str]]] = {}
+        self._buckets: dict[str, ShareBucket] = {}
+        self._demands: dict[str, Demand] = {}
+
+    def update_nodes(self, nodes: Sequence[str]) -> None:
+        """Divide the limits anew over these nodes."""
+        if sorted(nodes) != self._nodes:
+            self._nodes = sorted(nodes)
+            self._holders.clear()
+
+    def start_empty(self) -> None:
+        """Let shares that this node takes from now on start without tokens."""
+        self._full = False
+
+    async def acquire(self, organisation: OrganisationEntry) -> None:
+        """Spend one token; raise Refusal when there is none."""
+        if organisation.rate <= 0.0:
+            return
+        now = self._clock.monotonic()
+        name = organisation.name
+        demand = self._demands.get(name)
+        if demand is None:
+            demand = self._demands[name] = Demand(now)
+        demand.add(now)
+        if demand.take_fetched(now):
+            return
+        bucket, holders = self._open(organisation, now)
+        if bucket is not None and bucket.level >= 1.0:
+            bucket.level -= 1.0
+            return
+        wait_s = bucket.wait_s() if bucket is not None else UNKNOWN_WAIT_S
+        wait_s = min(wait_s, await self._fetch(name, demand, holders))
+        if demand.take_fetched(self._clock.monotonic()):
+            return
+        raise make_refusal(Reason.OVER_RATE, Outcome.NOT_RUN, max(MIN_WAIT_S, wait_s))
+
+    def give_back(self, organisation: OrganisationEntry) -> None:
+        """Return the token of a request that did not run."""
+        bucket = self._buckets.get(organisation.name)
+        if bucket is not None:
+            bucket.level = min(bucket.capacity, bucket.level + 1.0)
+
+    def lend(self, organisation: OrganisationEntry, amount: int) -> TokenGrant:
+        """Give tokens to another node: at most half of what is here, or one."""
+        bucket, _ = self._open(organisation, self._clock.monotonic())
+        if bucket is None:
+            return TokenGrant(0, UNKNOWN_WAIT_S)
+        granted = min(amount, max(int(bucket.level / 2), int(bucket.level >= 1.0)))
+        bucket.level -= granted
+        return TokenGrant(granted, bucket.wait_s())
+
+    async def _fetch(self, name: str, demand: Demand, holders: list[str]) -> float:
+        """Ask other holders for tokens; return the shortest wait they state."""
+        wait_s = UNKNOWN_WAIT_S
+        others = [holder for holder in holders if holder != self._node]
+        start = hash((self._node, int(self._clock.monotonic() * 10)))
+        for i in range(min(MAX_ASKED, len(others))):
+            holder = others[(start + i) % len(others)]
+            try:
+                grant = await self._ask(holder, TokenRequest(name, demand.batch()))
+            except PeerError:
+                # A holder that cannot be reached lends nothing; ask the next one.
+                continue
+            wait_s = min(wait_s, grant.retry_after_s)
+            if grant.amount > 0:
+                demand.fetched += grant.amount
+                demand.fetched_at = self._clock.monotonic()
+                return 0.0
+        return wait_s
+
+    def _open(
+        self, organisation: OrganisationEntry, now: float
+    ) -> tuple[ShareBucket | None, list[str]]:
+        """Return this node's filled bucket, if it is a holder, and all holders."""
+        name = organisation.name
+        known = self._holders.get(name)
+        if known is None or known[0] is not organisation:
+            known = (organisation, choose_holders(organisation, self._nodes))
+            self._holders[name] = known
+            self._divide(organisation, known[1], now)
+        bucket = self._buckets.get(name)
+        if bucket is not None:
+            bucket.fill(now)
+        return bucket, known[1]
+
+    def _divide(
+        self, organisation: OrganisationEntry, holders: list[str], now: float
+    ) -> None:
+        name = organisation.name
+        if self._node not in holders:
+            self._buckets.pop(name, None)
+            return
+        rate = organisation.rate / len(holders)
+        capacity = max(1.0, organisation.burst / len(holders))
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            level = capacity if self._full else 0.0
+            self._buckets[name] = ShareBucket(rate, capacity, level, now)
+            return
+        bucket.fill(now)
+        bucket.resize(rate, capacity)
--- /dev/null
+++ b/src/heathermount/gateway/settings.py
@@ -0,0 +1,128 @@
+"""Settings of a gateway node, read from TOML and checked before anything starts."""
+
+from typing import Any, Final, Self
+
+import msgspec
+
+from heathermount.config.checking import TableChecker, load_toml
+from heathermount.config.durations import parse_duration
+from heathermount.config.settings import PolicySettings
+from heathermount.gateway.budget import RepeatLimits
+
+__all__ = [
+    "BoundSettings",
+    "GatewayListenSettings",
+    "GatewayNodeSettings",
+    "GatewaySettings",
+    "GatewayStoreSettings",
+]
+
+
+class GatewayNodeSettings(msgspec.Struct, kw_only=True):
+    """Who this node is; `application` is the address of its backend server."""
+
+    name: str
+    service: str
+    failure_domain: str
+    application: str
+    # True only when the whole fleet starts for the first time.
+    first_start: bool = False
+
+
+class GatewayListenSettings(msgspec.Struct, kw_only=True):
+    """Addresses of the listeners, "ip:port"."""
+
+    outbound: str
+    peers: str
+    readiness: str
+    control: str
+
+
+class GatewayStoreSettings(msgspec.Struct, kw_only=True):
+    """Where the platform's key-value service is."""
+
+    endpoint: str
+    timeout_s: float = 1.0
+
+
+class BoundSettings(msgspec.Struct, kw_only=True):
+    """Times within which the fleet must react, as durations, and its budgets."""
+
+    # A leaving backend server gets no new requests after this time.
+    drain: str = "2s"
+    # A withdrawn key does not work after this time.
+    revocation: str = "5s"
+    # A stopped process is killed after this time.
+    grace: str = "6s"
+    # Repeated sends to a service in any window: ratio x requests + slack.
+    repeat_ratio: float = 0.2
+    repeat_window: str = "10s"
+    repeat_slack: float = 48.0
+
+
+class GatewaySettings:
+    """All settings of a gateway node."""
+
+    __slots__ = ("bounds", "listen", "node", "policy", "store")
+
+    def __init__(
+        self,
+        node: GatewayNodeSettings,
+        listen: GatewayListenSettings,
+        store: GatewayStoreSettings,
+        bounds: BoundSettings,
+        policy: PolicySettings,
+    ) -> None:
+        self.node = node
+        self.listen = listen
+        self.store = store
+        self.bounds = bounds
+        self.policy = policy
+
+    @property
+    def repeat_limits(self) -> RepeatLimits:
+        bounds = self.bounds
+        return RepeatLimits(
+            bounds.repeat_ratio,
+            parse_duration(bounds.repeat_window),
+            bounds.repeat_slack,
+        )
+
+    @classmethod
+    def from_file(cls, path: str) -> Self:
+        """Read and check a settings file; raise an exception group of all problems."""
+        return cls.from_config(load_toml(path), path)
+
+    @classmethod
+    def from_config(cls, config: dict[str, Any], source: str) -> Self:
+        """Check settings that were read from `source`."""
+        checker = TableChecker(source)
+        for name in sorted(config.keys() - SECTIONS.keys()):
+            choices = ", ".join(sorted(SECTIONS))
+            checker.add(name, "is unknown", f"remove it or use: {choices}")
+        tables: dict[str, Any] = {
+            name: checker.convert(config.get(name, {}), kind, name)
+            for name, kind in SECTIONS.items()
+        }
+        check_durations(checker, tables["bounds"])
+        checker.finish()
+        return cls(**tables)
+
+
+SECTIONS: Final[dict[str, type[msgspec.Struct]]] = {
+    "node": GatewayNodeSettings,
+    "listen": GatewayListenSettings,
+    "store": GatewayStoreSettings,
+    "bounds": BoundSettings,
+    "policy": PolicySettings,
+}
+
+
+def check_durations(checker: TableChecker, bounds: BoundSettings | None) -> None:
+    if bounds is None:
+        return
+    for name in ("drain", "revocation", "grace", "repeat_window"):
+        try:
+            parse_duration(getattr(bounds, name))
+        except ValueError as error:
+            checker.add(f"bounds.{name}", str(error), "correct the duration")
--- /dev/null
+++ b/src/heathermount/gateway/upstream.py
@@ -0,0 +1,333 @@
+"""HTTP/1.1 client towards the backend server beside this node."""
+
+import asyncio
+import re
+from collections import deque
+from typing import Final, cast
+
+import httptools
+from absl import logging
+
+from heathermount.gateway.http import HOP_HEADERS
+from heathermount.gateway.messages import Headers
+
+__all__ = ["ServerAnswer", "ServerBroke", "ServerPool", "ServerUnreachable"]
+
+CONNECT_TIMEOUT_S: Final = 1.0
+
+# A kept connection is reused for this long when the server names no time, in
+# seconds, and up to this margin before the time that it names.
+IDLE_EXPIRY_S: Final = 2.0
+EXPIRY_MARGIN_S: Final = 1.0
+
+# Waiting time for a free connection below the server's limit, in seconds.
+SLOT_TIMEOUT_S: Final = 1.0
+
+KEEP_ALIVE_TIMEOUT: Final = re.compile(rb"timeout=(\d+)")
+
+NO_BODY_STATUSES: Final = frozenset({204, 304})
+
+
+class ServerUnreachable(Exception):
+    """No connection to the backend server: the request did not run."""
+
+
+class ServerBroke(Exception):
+    """The connection broke after the request was sent.
+
+    `answering` tells whether the answer had begun.
+    """
+
+    def __init__(self, cause: str, answering: bool) -> None:
+        super().__init__(cause)
+        self.answering = answering
+
+
+class ServerAnswer:
+    """A whole answer of the backend server; header names are in lower case."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection; it carries one request at a time."""
+
+    __slots__ = (
+        "_body",
+        "_begun",
+        "_closed",
+        "_dirty",
+        "_expected_id",
+        "_future",
+        "_head",
+        "_headers",
+        "_id_header",
+        "_length",
+        "_loop",
+        "_parser",
+        "_pool",
+        "expires_at",
+        "transport",
+    )
+
+    def __init__(self, pool: "ServerPool") -> None:
+        self._pool = pool
+        self._id_header = pool.id_header
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpResponseParser(self)
+        self._future: asyncio.Future[ServerAnswer] | None = None
+        self._expected_id = b""
+        self._head = False
+        self._dirty = False
+        self._closed = False
+        self._begun = False
+        self._length = -1
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self.expires_at = 0.0
+        self.transport: asyncio.Transport | None = None
+
+    @property
+    def reusable(self) -> bool:
+        return not self._dirty and not self._closed
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._closed = True
+        self._fail(f"the server closed the connection: {exc!r}")
+        self._pool.closed(self)
+
+    def eof_received(self) -> bool:
+        # An answer without a length ends with its connection.
+        future = self._future
+        if future is not None and self._begun and self._length == -1:
+            self._complete()
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        if self._future is None:
+            # Bytes that belong to no request.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"the server sent bytes that are no answer: {error!r}")
+            self.close()
+
+    def send(
+        self, data: bytes, request_id: bytes, head: bool
+    ) -> asyncio.Future[ServerAnswer]:
+        assert self.transport is not None
+        self._future = self._loop.create_future()
+        self._expected_id = request_id
+        self._head = head
+        self._begun = False
+        self.transport.write(data)
+        return self._future
+
+    def close(self) -> None:
+        self._closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        if self._future is None:
+            self._dirty = True
+        self._headers = []
+        self._body = []
+        self._length = -1
+        self._begun = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
+        if name == b"content-length":
+            self._length = int(value) if value.isdigit() else 0
+        elif name == b"transfer-encoding":
+            self._length = 0
+        elif name == b"keep-alive":
+            found = KEEP_ALIVE_TIMEOUT.search(value)
+            if found:
+                idle_s = max(0.0, int(found[1]) - EXPIRY_MARGIN_S)
+                self.expires_at = self._loop.time() + idle_s
+        elif name == b"connection" and value.lower() == b"close":
+            self._dirty = True
+        if name not in HOP_HEADERS:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self._begun = True
+        if self._head:
+            self._dirty = True
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        if self._future is None:
+            self._dirty = True
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self._parser.get_status_code() >= 200:
+            self._complete()
+
+    def _complete(self) -> None:
+        future = self._future
+        if future is None:
+            self._dirty = True
+            return
+        echoed = next((v for n, v in self._headers if n == self._id_header), None)
+        if echoed is not None and echoed != self._expected_id:
+            # A late answer to an earlier request; that to this one follows.
+            logging.info("event=answer-mismatched request=%r", self._expected_id)
+            self._dirty = True
+            self._begun = False
+            return
+        self._future = None
+        if self._length == -1:
+            status = self._parser.get_status_code()
+            self._dirty = self._dirty or status not in NO_BODY_STATUSES
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            # The answer came before the server has read the whole request.
+            self._dirty = True
+        if not self._parser.should_keep_alive():
+            self._dirty = True
+        if not future.done():
+            body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+            future.set_result(
+                ServerAnswer(self._parser.get_status_code(), self._headers, body)
+            )
+
+    def _fail(self, cause: str) -> None:
+        future, self._future = self._future, None
+        if future is not None and not future.done():
+            future.set_exception(ServerBroke(cause, self._begun))
+            future.exception()
+
+
+class ServerPool:
+    """Reused connections to one backend server, below its connection limit."""
+
+    __slots__ = (
+        "_connections",
+        "_host",
+        "_idle",
+        "_loop",
+        "_port",
+        "_waiters",
+        "address",
+        "id_header",
+        "limit",
+        "opened",
+    )
+
+    def __init__(self, address: str, id_header: bytes, limit: int) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self._host = host
+        self._port = int(port)
+        # Header in which the server echoes the identifier of a request.
+        self.id_header = id_header
+        self.limit = limit
+        self.opened = 0
+        self._loop = asyncio.get_running_loop()
+        self._connections: set[ServerConnection] = set()
+        self._idle: deque[ServerConnection] = deque()
+        self._waiters: deque[asyncio.Future[None]] = deque()
+
+    async def exchange(
+        self, data: bytes, request_id: bytes, head: bool = False
+    ) -> ServerAnswer:
+        """Send a request and return its answer.
+
+        Raises ServerUnreachable when it was not sent, ServerBroke when no whole
+        answer came. A cancelled caller closes the connection, which makes the
+        server stop its work.
+        """
+        connection = self._take_idle() or await self._connect()
+        if connection.transport is None or connection.transport.is_closing():
+            raise ServerUnreachable(f"{self.address} closed the connection")
+        connection.expires_at = self._loop.time() + IDLE_EXPIRY_S
+        try:
+            answer = await connection.send(data, request_id, head)
+        except BaseException:
+            connection.close()
+            raise
+        if connection.reusable:
+            self._idle.append(connection)
+            self._wake()
+        else:
+            connection.close()
+        return answer
+
+    async def probe(self) -> bool:
+        """Tell whether the backend server accepts connections."""
+        try:
+            connection = await self._connect()
+        except ServerUnreachable:
+            return False
+        connection.expires_at = self._loop.time() + IDLE_EXPIRY_S
+        self._idle.append(connection)
+        return True
+
+    def closed(self, connection: ServerConnection) -> None:
+        self._connections.discard(connection)
+        self._wake()
+
+    def close(self) -> None:
+        """Close the idle connections; those in use end with their requests."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _take_idle(self) -> ServerConnection | None:
+        now = self._loop.time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable and connection.expires_at > now:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self) -> ServerConnection:
+        if len(self._connections) >= self.limit:
+            await self._wait_for_slot()
+            idle = self._take_idle()
+            if idle is not None:
+                return idle
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await self._loop.create_connection(
+                    lambda: ServerConnection(self), self._host, self._port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ServerUnreachable(f"{self.address}: {error!r}") from error
+        self._connections.add(connection)
+        return connection
+
+    async def _wait_for_slot(self) -> None:
+        waiter: asyncio.Future[None] = self._loop.create_future()
+        self._waiters.append(waiter)
+        try:
+            async with asyncio.timeout(SLOT_TIMEOUT_S):
+                await waiter
+        except TimeoutError:
+            raise ServerUnreachable(
+                f"{self.address} has {self.limit} connections in use"
+            ) from None
+
+    def _wake(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
--- /dev/null
+++ b/src/heathermount/platform/daemon.py
@@ -0,0 +1,63 @@
+"""Command line of the node on the platform."""
+
+import asyncio
+import os
+import signal
+import sys
+from typing import Final
+
+import uvloop
+from absl import logging
+
+from heathermount.clocks import SystemClock
+from heathermount.gateway import GatewayNode, GatewaySettings
+from heathermount.platform.dialect import PlatformDialect
+from heathermount.platform.heartbeats import HeartbeatListener
+from heathermount.platform.operator import PlatformConfigurationReader
+from heathermount.platform.store import PlatformStore
+
+__all__ = ["main", "run"]
+
+# Names the settings file, which the platform renders from deploy/node.toml.template.
+SETTINGS_VARIABLE: Final = "HEATHERMOUNT_CONFIG"
+
+EXIT_BAD_SETTINGS: Final = 2
+
+
+async def serve(settings: GatewaySettings) -> None:
+    """Run a node until SIGTERM; then stop it gracefully."""
+    store = PlatformStore.from_config(settings.store.endpoint, settings.store.timeout_s)
+    node = GatewayNode.from_config(
+        settings,
+        store,
+        PlatformConfigurationReader(store),
+        PlatformDialect(),
+        SystemClock(),
+    )
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, node.stop)
+    heartbeats = HeartbeatListener(node.execution, settings.node.service)
+    await node.run(heartbeats.handle)
+
+
+def main() -> int:
+    """Check the settings and serve; return the exit code."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        print(f"set {SETTINGS_VARIABLE} to the settings file", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    try:
+        settings = GatewaySettings.from_file(path)
+    except ExceptionGroup as problems:
+        # All problems of the file, each with its remedy.
+        for problem in problems.exceptions:
+            print(problem, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(settings))
+    return 0
+
+
+def run() -> None:
+    sys.exit(main())
--- /dev/null
+++ b/src/heathermount/platform/heartbeats.py
@@ -0,0 +1,93 @@
+"""Heartbeats of the backend server on the node's own instance."""
+
+from typing import Final
+
+import msgspec
+from absl import logging
+
+from heathermount.config.durations import parse_duration
+from heathermount.gateway.execution import Announcement, Execution
+from heathermount.gateway.http import HttpRequest, HttpResponse
+
+__all__ = ["HeartbeatListener", "decode_heartbeat"]
+
+PREFIX: Final = "/heathermount/instances/"
+
+JSON: Final = [(b"content-type", b"application/json")]
+
+STATES: Final = frozenset({"ready", "draining"})
+
+
+class Heartbeat(msgspec.Struct, rename="pascal"):
+    """What a server says of itself."""
+
+    service: str
+    address: str
+    # Failure domain of the server.
+    zone: str
+    slots: int
+    state: str
+    # How much longer the server is slow after its start.
+    cold_remaining: str = "0ms"
+    # Number of this heartbeat since the server's start.
+    sequence: int = 0
+    version: str = ""
+    # Start of the server, in milliseconds since the Unix epoch.
+    born: int = msgspec.field(name="born", default=0)
+
+
+DECODER: Final = msgspec.json.Decoder(Heartbeat)
+
+
+def decode_heartbeat(server_id: str, data: bytes) -> Announcement:
+    """Return the announcement; raise ValueError for anything else."""
+    heartbeat = DECODER.decode(data)
+    if heartbeat.state not in STATES or heartbeat.slots < 1:
+        raise ValueError(f"state {heartbeat.state!r} with {heartbeat.slots} slots")
+    return Announcement(
+        server_id,
+        heartbeat.service,
+        heartbeat.address,
+        heartbeat.slots,
+        heartbeat.state == "draining",
+        parse_duration(heartbeat.cold_remaining),
+        heartbeat.born,
+        heartbeat.sequence,
+    )
+
+
+class HeartbeatListener:
+    """Takes heartbeats and departures; everything else is not found."""
+
+    __slots__ = ("_execution", "_service")
+
+    def __init__(self, execution: Execution, service: str) -> None:
+        self._execution = execution
+        self._service = service
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        target = request.target.decode("latin-1")
+        if not target.startswith(PREFIX):
+            return HttpResponse(404, [])
+        server_id = target.removeprefix(PREFIX)
+        if request.method == b"DELETE":
+            self._execution.withdraw(server_id)
+            return HttpResponse(200, JSON, b"{}")
+        if request.method != b"PUT":
+            return HttpResponse(405, [])
+        try:
+            announcement = decode_heartbeat(server_id, request.body)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            logging.warning(
+                'event=heartbeat-malformed server=%s error="%s"', server_id, error
+            )
+            return HttpResponse(400, [])
+        if announcement.service != self._service:
+            logging.warning(
+                "event=heartbeat-foreign server=%s service=%s",
+                server_id,
+                announcement.service,
+            )
+            return HttpResponse(400, [])
+        self._execution.announce(announcement)
+        return HttpResponse(200, JSON, b"{}")
--- /dev/null
+++ b/src/heathermount/platform/operator.py
@@ -0,0 +1,152 @@
+"""The operator's configuration as the platform's store holds it."""
+
+from typing import Final
+
+import msgspec
+from absl import logging
+
+from heathermount.config.durations import parse_duration
+from heathermount.errors import InvalidMessage
+from heathermount.gateway.document import (
+    GatewayDocument,
+    OrganisationEntry,
+    RouteEntry,
+    ServiceEntry,
+    Target,
+)
+from heathermount.gateway.http import HttpLimits
+from heathermount.platform.store import PlatformStore
+
+__all__ = ["CONFIGURATION_KEY", "PlatformConfigurationReader", "decode_configuration"]
+
+CONFIGURATION_KEY: Final = "op/config"
+
+# Kinds of routes whose requests may run more than once.
+IDEMPOTENT_KINDS: Final = frozenset({"safe", "download"})
+
+
+class Split(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: float
+
+
+class Route(msgspec.Struct, rename="pascal"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout: str
+    target_latency: str
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[Split] = []
+    max_attempts: int = 1
+    # Whether requests need no key.
+    public: bool = False
+
+
+class Service(msgspec.Struct, rename="pascal"):
+    name: str
+    health_check_path: str = ""
+    # Connections that one server accepts from all callers together.
+    connection_limit: int = 0
+
+
+class Limits(msgspec.Struct, rename="pascal"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+
+
+class Tenant(msgspec.Struct, rename="pascal"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    # Requests per second; 0 is no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class Configuration(msgspec.Struct, rename="pascal"):
+    version: int
+    routes: list[Route]
+    services: list[Service]
+    limits: Limits
+    tenants: list[Tenant] = []
+
+
+DECODER: Final = msgspec.json.Decoder(Configuration)
+
+
+def decode_configuration(data: bytes) -> GatewayDocument:
+    """Return the configuration; raise InvalidMessage for anything else."""
+    try:
+        configuration = DECODER.decode(data)
+        return convert(configuration)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise InvalidMessage(f"{CONFIGURATION_KEY} cannot be read: {error}") from error
+
+
+def convert(configuration: Configuration) -> GatewayDocument:
+    limits = configuration.limits
+    return GatewayDocument(
+        configuration.version,
+        [convert_route(route) for route in configuration.routes],
+        [
+            ServiceEntry(one.name, one.health_check_path, one.connection_limit)
+            for one in configuration.services
+        ],
+        [
+            OrganisationEntry(
+                one.name, one.api_keys, one.priority, one.rate_per_s, one.burst
+            )
+            for one in configuration.tenants
+        ],
+        HttpLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            parse_duration(limits.header_timeout),
+            parse_duration(limits.idle_timeout),
+        ),
+    )
+
+
+def convert_route(route: Route) -> RouteEntry:
+    targets = [Target(split.service, split.weight) for split in route.traffic_split]
+    return RouteEntry(
+        route.name,
+        route.host,
+        route.prefix,
+        targets or [Target(route.service)],
+        route.kind in IDEMPOTENT_KINDS,
+        parse_duration(route.timeout),
+        parse_duration(route.target_latency),
+        route.priority,
+        route.max_attempts,
+        route.public,
+    )
+
+
+class PlatformConfigurationReader:
+    """Reads the operator's configuration; see ConfigurationReader."""
+
+    __slots__ = ("_store",)
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    async def read(self) -> tuple[GatewayDocument | None, int]:
+        items, revision = await self._store.read_prefix(CONFIGURATION_KEY)
+        item = items.get(CONFIGURATION_KEY)
+        if item is None:
+            return None, revision
+        try:
+            return decode_configuration(item.value), revision
+        except InvalidMessage as error:
+            logging.error('event=configuration-invalid error="%s"', error)
+            return None, revision
+
+    async def wait(self, after: int, wait_s: float) -> tuple[bool, int]:
+        changes = await self._store.watch(CONFIGURATION_KEY, after, wait_s)
+        return bool(changes.events), changes.revision
--- /dev/null
+++ b/src/heathermount/platform/store.py
@@ -0,0 +1,226 @@
+"""Client of the platform's metadata store."""
+
+import asyncio
+import base64
+from typing import Any, Final, Self, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from heathermount.config.durations import parse_duration
+from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
+from heathermount.gateway.upstream import (
+    ServerAnswer,
+    ServerBroke,
+    ServerPool,
+    ServerUnreachable,
+)
+from heathermount.store.interface import Change, Changes, HistoryLost, Versioned
+
+__all__ = ["PlatformStore"]
+
+# One watch of the configuration, one of the nodes, a renewal and a write may be
+# under way at once.
+MAX_CONNECTIONS: Final = 8
+
+# Statuses with which the store says that nothing was done.
+NOT_DONE: Final = frozenset({400, 403, 429, 503})
+
+
+class Item(msgspec.Struct, rename="pascal"):
+    """A key as it was written, or in a watch also the deletion of one."""
+
+    key: str
+    revision: int
+    # Standard base64 with padding.
+    value: str = ""
+    tombstone: bool = False
+
+
+class Range(msgspec.Struct):
+    items: list[Item] = []
+    truncated: bool = msgspec.field(name="Truncated", default=False)
+    # Revision of the store, not of an item.
+    store_revision: int = msgspec.field(name="StoreRevision", default=0)
+
+
+class Events(msgspec.Struct):
+    store_revision: int = msgspec.field(name="StoreRevision")
+    events: list[Item] = []
+
+
+class Lease(msgspec.Struct, rename="pascal"):
+    # Identifier of the lease.
+    lease: int
+    ttl: str
+
+
+class Written(msgspec.Struct, rename="pascal"):
+    revision: int
+
+
+Reply = TypeVar("Reply")
+
+
+class PlatformStore:
+    """Key-value store of the platform; see WatchedStore."""
+
+    __slots__ = ("_host", "_pool", "_timeout_s", "calls")
+
+    def __init__(self, endpoint: str, timeout_s: float) -> None:
+        self._host = endpoint.encode()
+        self._pool = ServerPool(endpoint, b"", MAX_CONNECTIONS)
+        self._timeout_s = timeout_s
+        # Calls by kind since the start.
+        self.calls: dict[str, int] = {}
+
+    @classmethod
+    def from_config(cls, endpoint: str, timeout_s: float) -> Self:
+        return cls(endpoint, timeout_s)
+
+    async def get(self, key: str) -> Versioned | None:
+        answer = await self._read("kv-key", {"Key": key})
+        if answer.status == 404:
+            return None
+        return decode_item(self._decode(answer, Item))
+
+    async def get_prefix(self, prefix: str) -> dict[str, Versioned]:
+        items, _ = await self.read_prefix(prefix)
+        return items
+
+    async def read_prefix(self, prefix: str) -> tuple[dict[str, Versioned], int]:
+        found: dict[str, Versioned] = {}
+        # Pages are no snapshot: changes since the first page come by the watch.
+        revision = 0
+        query: dict[str, Any] = {"Prefix": prefix}
+        while True:
+            answer = await self._read("kv-range", query)
+            page = self._decode(answer, Range)
+            revision = revision or page.store_revision
+            for item in page.items:
+                found[item.key] = decode_item(item)
+            if not page.truncated or not page.items:
+                return found, revision
+            query["after"] = page.items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        query = {"Prefix": prefix, "after": after, "WaitMs": int(wait_s * 1000)}
+        answer = await self._read("kv-watch", query, wait_s)
+        if answer.status == 410:
+            raise HistoryLost(f"the changes after revision {after} are gone")
+        events = self._decode(answer, Events)
+        return Changes(
+            [decode_change(item) for item in events.events], events.store_revision
+        )
+
+    async def commit(
+        self,
+        compares: dict[str, int],
+        writes: dict[str, bytes | None],
+        lease_id: int = 0,
+    ) -> bool:
+        body = {
+            "Expected": [
+                {"Key": key, "Revision": revision} for key, revision in compares.items()
+            ],
+            "Puts": [
+                {
+                    "Key": key,
+                    "Value": base64.b64encode(value).decode(),
+                    "Lease": lease_id,
+                }
+                for key, value in writes.items()
+                if value is not None
+            ],
+            "Deletes": [key for key, value in writes.items() if value is None],
+        }
+        answer = await self._write("POST", "kv-txn", body)
+        if answer.status in (404, 412):
+            return False
+        self._decode(answer, Written)
+        return True
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        body = {"Ttl": f"{int(ttl_s * 1000)}ms"}
+        lease = self._decode(await self._write("POST", "kv-lease", body), Lease)
+        parse_duration(lease.ttl)
+        return lease.lease
+
+    async def renew_lease(self, lease_id: int) -> bool:
+        answer = await self._write("POST", f"kv-keep/{lease_id}", None)
+        if answer.status == 404:
+            return False
+        check_status(answer, "kv-keep")
+        return True
+
+    async def end_lease(self, lease_id: int) -> None:
+        answer = await self._write("DELETE", f"kv-lease-end/{lease_id}", None)
+        if answer.status != 404:
+            check_status(answer, "kv-lease-end")
+
+    def _decode(self, answer: ServerAnswer, kind: type[Reply]) -> Reply:
+        check_status(answer, kind.__name__)
+        try:
+            return msgspec.json.decode(answer.body, type=kind)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise StoreUnavailable(
+                f"the store's answer is malformed: {error}"
+            ) from error
+
+    async def _read(
+        self, call: str, query: dict[str, Any], wait_s: float = 0.0
+    ) -> ServerAnswer:
+        """Read from the store; every failure is StoreUnavailable."""
+        try:
+            return await self._call("GET", f"{call}?{urlencode(query)}", None, wait_s)
+        except StoreOutcomeUnknown as error:
+            raise StoreUnavailable(str(error)) from error
+
+    async def _write(
+        self, method: str, path: str, body: dict[str, Any] | None
+    ) -> ServerAnswer:
+        return await self._call(method, path, body, 0.0)
+
+    async def _call(
+        self, method: str, path: str, body: dict[str, Any] | None, wait_s: float
+    ) -> ServerAnswer:
+        kind = path.partition("?")[0].partition("/")[0]
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+        content = b"" if body is None else msgspec.json.encode(body)
+        head = (
+            f"{method} /heathermount/{path} HTTP/1.1\r\nhost: {self._host.decode()}\r\n"
+            f"content-type: application/json\r\ncontent-length: {len(content)}\r\n\r\n"
+        )
+        try:
+            async with asyncio.timeout(self._timeout_s + wait_s):
+                return await self._pool.exchange(head.encode() + content, b"")
+        except ServerUnreachable as error:
+            raise StoreUnavailable(f"{kind}: {error}") from error
+        except (ServerBroke, TimeoutError) as error:
+            raise StoreOutcomeUnknown(f"{kind}: {error!r}") from error
+
+
+def check_status(answer: ServerAnswer, call: str) -> None:
+    """Raise the error that an answer stands for."""
+    if answer.status == 200:
+        return
+    message = f"{call}: the store answered {answer.status}"
+    if answer.status in NOT_DONE or answer.status == 404:
+        raise StoreUnavailable(message)
+    raise StoreOutcomeUnknown(message)
+
+
+def decode_item(item: Item) -> Versioned:
+    return Versioned(decode_value(item), item.revision)
+
+
+def decode_change(item: Item) -> Change:
+    value = None if item.tombstone else decode_value(item)
+    return Change(item.key, value, item.revision)
+
+
+def decode_value(item: Item) -> bytes:
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        raise StoreUnavailable(f"{item.key} is no base64: {error}") from error
--- a/src/heathermount/store/__init__.py
+++ b/src/heathermount/store/__init__.py
@@ -1,9 +1,14 @@
 """Client of the platform's key-value service."""
 
-from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
-from heathermount.store.counted import CountedStore
-from heathermount.store.etcd import EtcdStore
-from heathermount.store.interface import Store, Versioned
+from typing import TYPE_CHECKING
+
+from heathermount.lazy import make_lazy_exports
+
+if TYPE_CHECKING:
+    from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
+    from heathermount.store.counted import CountedStore
+    from heathermount.store.etcd import EtcdStore
+    from heathermount.store.interface import Store, Versioned
 
 __all__ = [
     "CountedStore",
@@ -13,3 +18,13 @@
     "StoreUnavailable",
     "Versioned",
 ]
+
+__getattr__ = make_lazy_exports(
+    __name__,
+    {
+        "heathermount.errors": ["StoreOutcomeUnknown", "StoreUnavailable"],
+        "heathermount.store.counted": ["CountedStore"],
+        "heathermount.store.etcd": ["EtcdStore"],
+        "heathermount.store.interface": ["Store", "Versioned"],
+    },
+)
--- a/src/heathermount/store/interface.py
+++ b/src/heathermount/store/interface.py
@@ -2,7 +2,20 @@
 
 from typing import Protocol
 
-__all__ = ["Store", "Versioned"]
+from heathermount.errors import HeathermountError
+
+__all__ = [
+    "Change",
+    "Changes",
+    "HistoryLost",
+    "Store",
+    "Versioned",
+    "WatchedStore",
+]
+
+
+class HistoryLost(HeathermountError):
+    """The store has dropped the changes asked for; read the keys again."""
 
 
 class Versioned:
@@ -48,3 +61,60 @@
         Version 0 stands for an absent key; a write of None deletes the key.
         Returns False, and writes nothing, when a comparison fails.
         """
+
+
+class Change:
+    """A change of one key; `value` is None when the key was deleted."""
+
+    __slots__ = ("key", "value", "version")
+
+    def __init__(self, key: str, value: bytes | None, version: int) -> None:
+        self.key = key
+        self.value = value
+        self.version = version
+
+
+class Changes:
+    """Changes under a prefix and the revision from which to go on."""
+
+    __slots__ = ("events", "revision")
+
+    def __init__(self, events: list[Change], revision: int) -> None:
+        self.events = events
+        self.revision = revision
+
+
+class WatchedStore(Store, Protocol):
+    """A store with watches by long polls, and with leases.
+
+    The calls fail like those of Store.
+    """
+
+    async def read_prefix(self, prefix: str) -> tuple[dict[str, Versioned], int]:
+        """Return all keys under a prefix, and the revision to watch from."""
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return the changes after a revision, waiting for the first one.
+
+        Raises HistoryLost when the store no longer has them.
+        """
+
+    async def commit(
+        self,
+        compares: dict[str, int],
+        writes: dict[str, bytes | None],
+        lease_id: int = 0,
+    ) -> bool:
+        """Apply the writes as Store does; the keys end with the lease, if any.
+
+        Also returns False when the lease has ended.
+        """
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Return the identifier of a new lease."""
+
+    async def renew_lease(self, lease_id: int) -> bool:
+        """Renew a lease; false when it has ended."""
+
+    async def end_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys."""
--- a/src/heathermount/wire/__init__.py
+++ b/src/heathermount/wire/__init__.py
@@ -1,9 +1,14 @@
 """Protocol between the system's own processes."""
 
-from heathermount.wire.control import ControlClient, ControlServer, ControlService
-from heathermount.wire.link import Identity, Link, LinkPool, LinkServer, PeerHello
-from heathermount.wire.tls import TlsContexts
-from heathermount.wire.traffic import Traffic
+from typing import TYPE_CHECKING
+
+from heathermount.lazy import make_lazy_exports
+
+if TYPE_CHECKING:
+    from heathermount.wire.control import ControlClient, ControlServer, ControlService
+    from heathermount.wire.link import Identity, Link, LinkPool, LinkServer, PeerHello
+    from heathermount.wire.tls import TlsContexts
+    from heathermount.wire.traffic import Traffic
 
 __all__ = [
     "ControlClient",
@@ -17,3 +22,23 @@
     "TlsContexts",
     "Traffic",
 ]
+
+__getattr__ = make_lazy_exports(
+    __name__,
+    {
+        "heathermount.wire.control": [
+            "ControlClient",
+            "ControlServer",
+            "ControlService",
+        ],
+        "heathermount.wire.link": [
+            "Identity",
+            "Link",
+            "LinkPool",
+            "LinkServer",
+            "PeerHello",
+        ],
+        "heathermount.wire.tls": ["TlsContexts"],
+        "heathermount.wire.traffic": ["Traffic"],
+    },
+)
--- a/src/heathermount/wire/frames.py
+++ b/src/heathermount/wire/frames.py
@@ -1,7 +1,5 @@
 """Frames on a byte stream: a header (length, call number, kind) and a body."""
 
-import struct
-from enum import IntEnum
 from typing import Final, TypeVar
 
 import anyio
@@ -9,6 +7,7 @@
 from anyio.abc import ByteStream
 
 from heathermount.errors import InvalidMessage, PeerUnreachable
+from heathermount.framing import HEADER, MAX_FRAME_BYTES, Kind
 
 __all__ = [
     "HEADER",
@@ -21,9 +20,6 @@
     "frame",
 ]
 
-HEADER: Final = struct.Struct(">IQB")
-# A frame carries one body of at most a few MiB; anything longer is malformed.
-MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
 # Unsent bytes above which a peer counts as stuck instead of growing in memory.
 MAX_BUFFER_BYTES: Final = 64 * 1024 * 1024
 READ_BYTES: Final = 65536
@@ -31,15 +27,6 @@
 Body = TypeVar("Body")
 
 
-class Kind(IntEnum):
-    """Kind of a frame."""
-
-    REQUEST = 0
-    ANSWER = 1
-    CANCEL = 2
-    REJECTED = 3
-
-
 class FrameStream:
     """Reads and writes frames on a byte stream."""
 
--- /dev/null
+++ b/target/deps/idna/__init__.py
@@ -0,0 +1,47 @@
+from .core import (
+    IDNABidiError,
+    IDNAError,
+    InvalidCodepoint,
+    InvalidCodepointContext,
+    alabel,
+    check_bidi,
+    check_hyphen_ok,
+    check_initial_combiner,
+    check_label,
+    check_nfc,
+    decode,
+    encode,
+    ulabel,
+    uts46_remap,
+    valid_contextj,
+    valid_contexto,
+    valid_label_length,
+    valid_string_length,
+)
+from .idnadata import __version__ as unicode_version
+from .intranges import intranges_contain
+from .package_data import __version__
+
+__all__ = [
+    "__version__",
+    "unicode_version",
+    "IDNABidiError",
+    "IDNAError",
+    "InvalidCodepoint",
+    "InvalidCodepointContext",
+    "alabel",
+    "check_bidi",
+    "check_hyphen_ok",
+    "check_initial_combiner",
+    "check_label",
+    "check_nfc",
+    "decode",
+    "encode",
+    "intranges_contain",
+    "ulabel",
+    "uts46_remap",
+    "valid_contextj",
+    "valid_contexto",
+    "valid_label_length",
+    "valid_string_length",
+]
--- /dev/null
+++ b/target/deps/uvloop/_noop.py
@@ -0,0 +1,3 @@
+def noop() -> None:
+    """Empty function to invoke CPython ceval loop."""
+    return
--- /dev/null
+++ b/target/deps/uvloop/handles/idle.pxd
@@ -0,0 +1,14 @@
+cdef class UVIdle(UVHandle):
+    cdef:
+        Handle h
+        bint running
+
+    # All "inline" methods are final
+
+    cdef _init(self, Loop loop, Handle h)
+
+    cdef inline stop(self)
+    cdef inline start(self)
+
+    @staticmethod
+    cdef UVIdle new(Loop loop, Handle h)
--- /dev/null
+++ b/target/deps/uvloop/handles/idle.pyx
@@ -0,0 +1,72 @@
+@cython.no_gc_clear
+cdef class UVIdle(UVHandle):
+    cdef _init(self, Loop loop, Handle h):
+        cdef int err
+
+        self._start_init(loop)
+
+        self._handle = <uv.uv_handle_t*>PyMem_RawMalloc(sizeof(uv.uv_idle_t))
+        if self._handle is NULL:
+            self._abort_init()
+            raise MemoryError()
+
+        err = uv.uv_idle_init(self._loop.uvloop, <uv.uv_idle_t*>self._handle)
+        if err < 0:
+            self._abort_init()
+            raise convert_error(err)
+
+        self._finish_init()
+
+        self.h = h
+        self.running = 0
+
+    cdef inline stop(self):
+        cdef int err
+
+        if not self._is_alive():
+            self.running = 0
+            return
+
+        if self.running == 1:
+            err = uv.uv_idle_stop(<uv.uv_idle_t*>self._handle)
+            self.running = 0
+            if err < 0:
+                exc = convert_error(err)
+                self._fatal_error(exc, True)
+                return
+
+    cdef inline start(self):
+        cdef int err
+
+        self._ensure_alive()
+
+        if self.running == 0:
+            err = uv.uv_idle_start(<uv.uv_idle_t*>self._handle,
+                                   cb_idle_callback)
+            if err < 0:
+                exc = convert_error(err)
+                self._fatal_error(exc, True)
+                return
+            self.running = 1
+
+    @staticmethod
+    cdef UVIdle new(Loop loop, Handle h):
+        cdef UVIdle handle
+        handle = UVIdle.__new__(UVIdle)
+        handle._init(loop, h)
+        return handle
+
+
+cdef void cb_idle_callback(
+    uv.uv_idle_t* handle,
+) noexcept with gil:
+    if __ensure_handle_data(<uv.uv_handle_t*>handle, "UVIdle callback") == 0:
+        return
+
+    cdef:
+        UVIdle idle = <UVIdle> handle.data
+        Handle h = idle.h
+    try:
+        h._run()
+    except BaseException as ex:
+        idle._error(ex, False)
--- /dev/null
+++ b/target/deps/uvloop/includes/debug.pxd
@@ -0,0 +1,3 @@
+cdef extern from "includes/debug.h":
+
+    cdef int UVLOOP_DEBUG
