Tie calls of servers to the request that they belong to

Cause: calls of servers carry no key and no context, so all ran in one class: under load every root request lost some of its calls, and orders waited behind lookups. A stopping node lost calls because a peer closed its link with calls under way, and SIGHUP ended the process. Change: a call inherits class, cohort and account of the running request that its identifier names; thresholds of the services below travel back to the entry node, which refuses early. Links are retired instead of closed, a stopping node first leaves the choice of others, and SIGHUP reloads the bounds. Ruled out: a lost link by load (the same call was cut at the same moment with the entry's removal).

--- a/src/heathermount/gateway/budget.py
+++ b/src/heathermount/gateway/budget.py
@@ -56,10 +56,10 @@
     own first sends and takes its part of the slack.
     """
 
-    __slots__ = ("_clock", "_limits", "_part_s", "_repeats", "_requests", "nodes")
+    __slots__ = ("_clock", "_part_s", "_repeats", "_requests", "limits", "nodes")
 
     def __init__(self, limits: RepeatLimits, clock: Clock) -> None:
-        self._limits = limits
+        self.limits = limits
         self._clock = clock
         self._part_s = limits.window_s / PARTS
         self._requests: dict[str, WindowCount] = {}
@@ -76,7 +76,7 @@
         part = self._now()
         requests = self._requests.setdefault(service, WindowCount()).total(part)
         repeats = self._repeats.setdefault(service, WindowCount())
-        allowed = self._limits.ratio * requests + self._limits.slack / self.nodes
+        allowed = self.limits.ratio * requests + self.limits.slack / self.nodes
         if repeats.total(part) + 1 > USED_SHARE * allowed:
             return False
         repeats.add(part)
--- a/src/heathermount/gateway/configuration.py
+++ b/src/heathermount/gateway/configuration.py
@@ -20,11 +20,11 @@
     which the version was certainly the newest.
     """
 
-    __slots__ = ("_clock", "_freshness_s", "confirmed_at", "encoded", "policy")
+    __slots__ = ("_clock", "confirmed_at", "encoded", "freshness_s", "policy")
 
     def __init__(self, clock: Clock, freshness_s: float) -> None:
         self._clock = clock
-        self._freshness_s = freshness_s
+        self.freshness_s = freshness_s
         self.policy: GatewayPolicy | None = None
         self.confirmed_at = float("-inf")
         self.encoded = b""
@@ -39,7 +39,7 @@
 
     def fresh(self) -> bool:
         """Tell whether a withdrawn key cannot have been missed for too long."""
-        return self.age_s() <= self._freshness_s
+        return self.age_s() <= self.freshness_s
 
     def apply(self, document: GatewayDocument, source: str) -> bool:
         """Take a configuration; false when it is not newer."""
--- a/src/heathermount/gateway/dialect.py
+++ b/src/heathermount/gateway/dialect.py
@@ -29,5 +29,8 @@
     def write_deadline(self, seconds: float) -> bytes:
         """Return the remaining time as a header value."""
 
+    def read_parent_id(self, request_id: bytes) -> bytes:
+        """Return the identifier of the request that a call belongs to, or b""."""
+
     def read_load(self, value: bytes) -> Load | None:
         """Return the load that a server reports; None if unreadable."""
--- a/src/heathermount/gateway/document.py
+++ b/src/heathermount/gateway/document.py
@@ -1,6 +1,7 @@
 """Operators' configuration of gateway nodes, and the policy compiled from it."""
 
 import hashlib
+from collections import Counter
 from random import Random
 from typing import Final, Self
 
@@ -94,6 +95,7 @@
         "_hosts",
         "_organisations",
         "_services",
+        "_usual_rank",
         "document",
         "limits",
         "needs_keys",
@@ -110,6 +112,7 @@
             self._hosts.setdefault(route.host.lower(), {})[route.prefix] = route
         self._services = {service.name: service for service in document.services}
         self._organisations = {one.name: one for one in document.organisations}
+        self._usual_rank = find_usual_rank(document.organisations)
         self._by_key: dict[bytes, tuple[OrganisationEntry, bytes]] = {}
         self._by_digest: dict[bytes, str] = {}
         for organisation in document.organisations:
@@ -145,6 +148,21 @@
     def organisation(self, name: str) -> OrganisationEntry | None:
         return self._organisations.get(name)
 
+    def rank(
+        self, route: RouteEntry, organisation: OrganisationEntry | None
+    ) -> Importance:
+        """Return the class of a request.
+
+        An organisation's rank goes before the route's: one that is more or less
+        urgent than the usual rank decides alone.
+        """
+        if organisation is not None and organisation.priority is not None:
+            if organisation.priority < self._usual_rank:
+                return Importance.CRITICAL
+            if organisation.priority > self._usual_rank:
+                return Importance.BACKGROUND
+        return Importance(min(max(route.priority, 0), max(Importance)))
+
     def service(self, name: str) -> ServiceEntry | None:
         return self._services.get(name)
 
@@ -162,15 +180,7 @@
     return targets[-1].service
 
 
-def rank_request(
-    route: RouteEntry, organisation: OrganisationEntry | None
-) -> Importance:
-    """Return the class of a request; an organisation's rank goes first.
-
-    Requests without a key are calls of backend servers on behalf of requests
-    that already run: refusing one wastes the work of its whole chain.
-    """
-    if organisation is None:
-        return Importance.CRITICAL
-    priority = route.priority
-    return Importance.NORMAL if priority <= 1 else Importance.BACKGROUND
+def find_usual_rank(organisations: list[OrganisationEntry]) -> int:
+    """Return the rank that most organisations have."""
+    ranks = Counter(one.priority for one in organisations if one.priority is not None)
+    return ranks.most_common(1)[0][0] if ranks else 0
--- a/src/heathermount/gateway/entry.py
+++ b/src/heathermount/gateway/entry.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Final
 
-from heathermount.admission import ThresholdTable
+from heathermount.admission import FairCohorts, ThresholdTable
 from heathermount.clocks import Clock
 from heathermount.errors import PeerError, PeerLost, Refusal
 from heathermount.gateway.budget import RepeatBudget
@@ -18,8 +18,8 @@
     OrganisationEntry,
     RouteEntry,
     choose_target,
-    rank_request,
 )
+from heathermount.gateway.execution import RunContext
 from heathermount.gateway.http import (
     HOP_HEADERS,
     HttpRequest,
@@ -42,6 +42,11 @@
 # The executing node's answer at its deadline needs time to travel, in seconds.
 TRAVEL_S: Final = 0.03
 
+# Refused requests come back spread over this time, in seconds, so that they do
+# not come together.
+MIN_RETURN_S: Final = 0.3
+MAX_RETURN_S: Final = 1.5
+
 # Longest wait for the first connection to a peer, in seconds.
 CONNECT_WAIT_S: Final = 0.5
 
@@ -61,6 +66,7 @@
         "maybe_ran",
         "message",
         "organisation",
+        "parent",
         "route",
         "sends",
         "tried",
@@ -72,7 +78,10 @@
         organisation: OrganisationEntry | None,
         message: Execute,
         deadline: float,
+        parent: RunContext | None,
     ) -> None:
+        # The request of the local server that made this call, if known.
+        self.parent = parent
         self.route = route
         self.organisation = organisation
         self.message = message
@@ -100,6 +109,8 @@
         "_dialect",
         "_dropped_headers",
         "_execute_here",
+        "_fair_cohorts",
+        "_find_parent",
         "_links",
         "_log",
         "_node",
@@ -122,6 +133,7 @@
         links: LinkTable,
         thresholds: ThresholdTable,
         execute_here: Callable[[Execute], Awaitable[Answer]],
+        find_parent: Callable[[bytes], RunContext | None],
         clock: Clock,
         random: Random,
         log: DecisionLog,
@@ -137,6 +149,9 @@
         self._links = links
         self._thresholds = thresholds
         self._execute_here = execute_here
+        # Finds the running request of the local server that made a call.
+        self._find_parent = find_parent
+        self._fair_cohorts = FairCohorts(clock)
         self._clock = clock
         self._random = random
         self._dropped_headers = HOP_HEADERS | {
@@ -201,7 +216,18 @@
         if wait_s is None:
             wait_s = route.timeout_s
         deadline = now + min(route.timeout_s, wait_s - CLIENT_MARGIN_S)
-        importance = rank_request(route, organisation)
+        parent = self._find_parent(request_id) if organisation is None else None
+        if parent is not None:
+            # A call shares the fate of the request that it belongs to.
+            account = parent.message.organisation or parent.message.account
+            importance = parent.message.importance
+            cohort = parent.message.cohort
+        else:
+            account = organisation.name if organisation is not None else ""
+            importance = policy.rank(route, organisation)
+            cohort = self._fair_cohorts.scale(
+                account, 1, importance, cohort_of(request_id)
+            )
         message = Execute(
             request_id=request_id,
             service=choose_target(route, self._random),
@@ -211,16 +237,15 @@
             body=request.body,
             organisation=organisation.name if organisation is not None else "",
             key_digest=digest,
+            account=account,
             importance=importance,
-            cohort=cohort_of(request_id),
+            cohort=cohort,
             deadline_s=0.0,
             patience_s=0.0,
             idempotent=route.idempotent,
-            resend=False,
             version=policy.version,
-            fingerprint=b"",
         )
-        return Call(route, organisation, message, deadline)
+        return Call(route, organisation, message, deadline, parent)
 
     def _match(self, policy: GatewayPolicy, host: bytes, target: bytes) -> RouteEntry:
         name = host.decode("latin-1").partition(":")[0].lower()
@@ -249,14 +274,8 @@
         return owner
 
     async def _charge_and_dispatch(self, call: Call) -> Answer:
-        message = call.message
-        rejecting = self._thresholds.admits(
-            message.service, message.importance, message.cohort
-        )
-        if rejecting is not None:
-            raise make_refusal(
-                Reason.SHED, Outcome.NOT_RUN, self._random.uniform(0.3, 1.0)
-            )
+        if call.parent is None:
+            self._reject_early(call)
         if call.organisation is None:
             return await self._dispatch(call)
         await self._quota.acquire(call.organisation)
@@ -267,13 +286,30 @@
                 self._quota.give_back(call.organisation)
             raise
 
+    def _reject_early(self, call: Call) -> None:
+        """Refuse a request that would be shed at a service on its way.
+
+        Answers an overload deep in the chain: the work of the services above it
+        is not done in vain. Calls of requests that already run are not refused
+        here.
+        """
+        message = call.message
+        rejecting = self._thresholds.admits(
+            call.route.name, message.importance, message.cohort
+        )
+        if rejecting is not None:
+            wait_s = self._random.uniform(MIN_RETURN_S, MAX_RETURN_S)
+            raise make_refusal(Reason.SHED, Outcome.NOT_RUN, wait_s)
+
     async def _dispatch(self, call: Call) -> Answer:
         message = call.message
         while True:
             member = await self._choose(call)
             call.tried.add(member.node)
             answer = await self._attempt(call, member)
-            self._thresholds.observe(message.service, answer.thresholds)
+            self._thresholds.observe(call.route.name, answer.thresholds)
+            if call.parent is not None:
+                call.parent.observe(answer.thresholds)
             if answer.sent:
                 call.sends += 1
                 if call.sends == 1 and call.organisation is not None:
--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -36,7 +36,7 @@
 from heathermount.invariants import Invariants
 from heathermount.values import Load, Outcome, Reason, ServiceThreshold
 
-__all__ = ["Announcement", "Execution"]
+__all__ = ["Announcement", "Execution", "RunContext"]
 
 # The server answers itself at the deadline that it is given; its answer gets
 # this long to arrive, in seconds.
@@ -70,6 +70,25 @@
         return (self.born_ms, self.sequence) >= (other.born_ms, other.sequence)
 
 
+class RunContext:
+    """A request that runs at the backend server, to which its calls belong.
+
+    It collects the thresholds of the services that the calls visit, so that
+    the entry node learns what is short deep in the chain.
+    """
+
+    __slots__ = ("message", "permit", "thresholds")
+
+    def __init__(self, message: Execute, permit: Permit) -> None:
+        self.message = message
+        self.permit = permit
+        self.thresholds: dict[str, ServiceThreshold] = {}
+
+    def observe(self, thresholds: list[ServiceThreshold]) -> None:
+        for threshold in thresholds:
+            self.thresholds[threshold.service] = threshold
+
+
 class Execution:
     """Runs requests at the backend server beside this node, or refuses them."""
 
@@ -87,11 +106,11 @@
         "_settings",
         "_tracker",
         "_updated",
+        "active",
         "admission",
         "announcement",
-        "deeper_thresholds",
+        "contexts",
         "leaving",
-        "running",
     )
 
     def __init__(
@@ -107,7 +126,6 @@
         settings: PolicySettings,
         drain_s: float,
         updated: Callable[[], None],
-        deeper_thresholds: Callable[[], list[ServiceThreshold]],
     ) -> None:
         self._service = service
         self._dialect = dialect
@@ -125,10 +143,12 @@
         self._pool: ServerPool | None = None
         self.admission: AdmissionController | None = None
         self.announcement: Announcement | None = None
-        self.deeper_thresholds = deeper_thresholds
         # True after the backend server told that it leaves.
         self.leaving = False
-        self.running = 0
+        # Requests that wait or run here.
+        self.active = 0
+        # Running requests by their identifiers.
+        self.contexts: dict[bytes, RunContext] = {}
 
     @property
     def serving(self) -> bool:
@@ -183,7 +203,7 @@
             return
         self.leaving = True
         self._left_at = self._clock.monotonic()
-        logging.info("event=server-leaving cause=%s running=%d", cause, self.running)
+        logging.info("event=server-leaving cause=%s running=%d", cause, self.active)
         self._updated()
 
     def _connections(self) -> int:
@@ -199,6 +219,7 @@
     async def execute(self, message: Execute) -> Answer:
         """Run a request or refuse it; the answer carries load and thresholds."""
         deadline = self._clock.monotonic() + message.deadline_s
+        self.active += 1
         try:
             answer = await self._admit_and_run(message, deadline)
         except Refusal as refusal:
@@ -210,11 +231,12 @@
                 "execution-refused",
                 request=message.request_id.decode("latin-1"),
                 reason=refusal.reason,
-                running=self.running,
+                active=self.active,
                 importance=message.importance,
             )
             answer = answer_of(refusal)
-        answer.thresholds = self.deeper_thresholds()
+        finally:
+            self.active -= 1
         if self.admission is not None:
             answer.load = self.admission.load()
             answer.thresholds.append(
@@ -231,28 +253,24 @@
         patience = self._clock.monotonic() + message.patience_s
         ticket = Ticket(
             message.request_id.decode("latin-1"),
-            message.organisation,
+            message.organisation or message.account,
             1,
             message.importance,
             message.cohort,
             min(deadline, patience),
-            message.resend,
         )
         permit = await admission.admit(ticket)
         result = RunResult.CANCELLED
-        self.running += 1
+        context = RunContext(message, permit)
         try:
             self._check_before_run(message)
+            self.contexts[message.request_id] = context
             answer, result = await self._run(message, deadline)
+            answer.thresholds = list(context.thresholds.values())
             return answer
         finally:
-            self.running -= 1
-            self._release(admission, permit, result)
-
-    def _release(
-        self, admission: AdmissionController, permit: Permit, result: RunResult
-    ) -> None:
-        admission.release(permit, result)
+            self.contexts.pop(message.request_id, None)
+            admission.release(permit, result)
 
     def _check_before_run(self, message: Execute) -> None:
         """Refuse what must not start now: state may have changed in the queue."""
--- a/src/heathermount/gateway/links.py
+++ b/src/heathermount/gateway/links.py
@@ -187,8 +187,9 @@
         "_pending",
         "_port",
         "_protocol",
-        "_task",
+        "_retired",
         "_table",
+        "_task",
         "address",
         "connected",
     )
@@ -204,6 +205,7 @@
         self._pending: dict[int, asyncio.Future[Message]] = {}
         self._next = 1
         self._heard_at = 0.0
+        self._retired = False
         self.connected = asyncio.Event()
         self._task = self._loop.create_task(self._run())
 
@@ -219,6 +221,12 @@
         if self._protocol is not None:
             self._protocol.close()
 
+    def retire(self) -> None:
+        """Close the connection as soon as no call waits on it."""
+        self._retired = True
+        if not self._pending:
+            self.close()
+
     def start_call(self, message: Message) -> tuple[int, asyncio.Future[Message]]:
         """Send a message; raise PeerUnreachable when there is no connection."""
         protocol = self._protocol
@@ -257,6 +265,8 @@
     def answered(self, number: int, kind: int, body: bytes) -> None:
         self._heard_at = self._loop.time()
         future = self._pending.pop(number, None)
+        if self._retired and not self._pending:
+            self.close()
         if future is None or future.done():
             return
         if kind == Kind.ANSWER:
@@ -347,7 +357,7 @@
     def retain(self, addresses: set[str]) -> None:
         """Close the links to all other addresses."""
         for address in self._links.keys() - addresses:
-            self._links.pop(address).close()
+            self._links.pop(address).retire()
 
     def addresses(self) -> list[str]:
         return list(self._links)
--- a/src/heathermount/gateway/messages.py
+++ b/src/heathermount/gateway/messages.py
@@ -34,6 +34,8 @@
     # Organisation and digest of its key; empty for requests without a key.
     organisation: str
     key_digest: bytes
+    # Organisation on whose behalf a request without a key runs, if known.
+    account: str
     importance: int
     cohort: int
     # Remaining time when the message was sent, in seconds.
@@ -41,10 +43,7 @@
     # Longest useful wait in the queue, in seconds.
     patience_s: float
     idempotent: bool
-    # True when the request comes back after an earlier attempt of this client.
-    resend: bool
     version: int
-    fingerprint: bytes
 
 
 class Answer(msgspec.Struct, tag=2, array_like=True):
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -20,7 +20,7 @@
 from heathermount.gateway.dialect import Dialect
 from heathermount.gateway.document import GatewayDocument
 from heathermount.gateway.entry import Entry
-from heathermount.gateway.execution import Execution
+from heathermount.gateway.execution import Execution, RunContext
 from heathermount.gateway.http import (
     Handler,
     HttpConnection,
@@ -44,7 +44,6 @@
 from heathermount.routing.balancer import Balancer
 from heathermount.routing.members import Member
 from heathermount.store.interface import HistoryLost, WatchedStore
-from heathermount.values import ServiceThreshold
 
 __all__ = ["ConfigurationReader", "GatewayNode"]
 
@@ -94,6 +93,7 @@
         "_budget",
         "_clients",
         "_clock",
+        "_dialect",
         "_entry",
         "_links",
         "_observers",
@@ -122,6 +122,7 @@
         node = settings.node
         self._settings = settings
         self._reader = reader
+        self._dialect = dialect
         self._clock = clock
         log = DecisionLog(clock)
         events = EventLog(node.name, clock)
@@ -144,7 +145,6 @@
             settings.policy,
             parse_duration(settings.bounds.drain),
             self._server_changed,
-            list[ServiceThreshold],
         )
         self._entry = Entry(
             node.name,
@@ -157,6 +157,7 @@
             self._links,
             self._thresholds,
             self.execution.execute,
+            self._find_parent,
             clock,
             random,
             log,
@@ -198,6 +199,15 @@
         """Begin a graceful stop."""
         self._stopping.set()
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take over the bounds of new settings; the rest needs a new start."""
+        logging.info("event=settings-reloaded")
+        self._settings.bounds = settings.bounds
+        self._tracker.freshness_s = FRESHNESS_SHARE * parse_duration(
+            settings.bounds.revocation
+        )
+        self._budget.limits = settings.repeat_limits
+
     async def run(self, control: Handler) -> None:
         """Serve until `stop`, then finish what runs; `control` takes heartbeats."""
         logging.info(
@@ -215,7 +225,6 @@
             )
         ]
         await self._stopping.wait()
-        background[0].cancel()
         await self._drain()
         for task in background:
             task.cancel()
@@ -265,6 +274,10 @@
             reasons.append("no-registry")
         return reasons
 
+    def _find_parent(self, request_id: bytes) -> RunContext | None:
+        """Return the running request of the local server that made a call."""
+        return self.execution.contexts.get(self._dialect.read_parent_id(request_id))
+
     # Peers.
 
     async def _answer_peer(self, message: Message) -> Message:
@@ -314,6 +327,8 @@
     # Membership.
 
     def _server_changed(self) -> None:
+        if self._stopping.is_set():
+            return
         announcement = self.execution.announcement
         server = None
         if announcement is not None and self.execution.serving:
@@ -380,13 +395,15 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         logging.info("event=node-stopping clients=%d", len(self._clients))
-        await self.registry.withdraw()
+        # Other nodes choose this one no more, but keep their links to it.
+        self.registry.update(None)
         for client in list(self._clients):
             client.close_when_idle()
         await asyncio.sleep(SERVE_SHARE * grace_s)
         for server in self._servers:
             server.close()
         await self._finish(started + END_SHARE * grace_s)
+        await self.registry.withdraw()
         self._links.close()
 
     async def _finish(self, until: float) -> None:
@@ -394,7 +411,7 @@
         loop = asyncio.get_running_loop()
         while loop.time() < until:
             busy = any(client.busy for client in self._clients)
-            if not busy and not self.execution.running:
+            if not busy and not self.execution.active:
                 return
             await asyncio.sleep(POLL_S)
 
--- a/src/heathermount/platform/daemon.py
+++ b/src/heathermount/platform/daemon.py
@@ -24,7 +24,16 @@
 EXIT_BAD_SETTINGS: Final = 2
 
 
-async def serve(settings: GatewaySettings) -> None:
+def reload_settings(node: GatewayNode, path: str) -> None:
+    """Take over changed settings; keep the present ones if the file is invalid."""
+    try:
+        node.reload(GatewaySettings.from_file(path))
+    except ExceptionGroup as problems:
+        for problem in problems.exceptions:
+            logging.error('event=settings-invalid error="%s"', problem)
+
+
+async def serve(settings: GatewaySettings, path: str) -> None:
     """Run a node until SIGTERM; then stop it gracefully."""
     store = PlatformStore.from_config(settings.store.endpoint, settings.store.timeout_s)
     node = GatewayNode.from_config(
@@ -34,7 +43,9 @@
         PlatformDialect(),
         SystemClock(),
     )
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, node.stop)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, node.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, node, path)
     heartbeats = HeartbeatListener(node.execution, settings.node.service)
     await node.run(heartbeats.handle)
 
@@ -55,7 +66,7 @@
             print(problem, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(settings))
+        runner.run(serve(settings, path))
     return 0
 
 
--- a/src/heathermount/platform/dialect.py
+++ b/src/heathermount/platform/dialect.py
@@ -31,6 +31,10 @@
     def write_deadline(self, seconds: float) -> bytes:
         return b"%d" % max(1, int(seconds * 1000))
 
+    def read_parent_id(self, request_id: bytes) -> bytes:
+        """Return what comes before the last dot: servers extend their request's id."""
+        return request_id.rpartition(b".")[0]
+
     def read_load(self, value: bytes) -> Load | None:
         """Return running and waiting requests and slots, which commas separate."""
         parts = value.split(b",")
