Keep serving through servers that refuse while slots are free

Cause: a service whose servers refuse half of their requests with free slots drove the concurrency limit to one slot, attracted work because it failed fast, and a failed call made the servers above it look faulty. Change: a refusal below 80% of the slots is a fault, not an overload; the balancer passes over servers by their recent share of failures; failures of calls below are not held against a server; requests that make no calls may be run again within the fleet's budget, of which calls may use half.

--- a/src/heathermount/gateway/budget.py
+++ b/src/heathermount/gateway/budget.py
@@ -14,7 +14,7 @@
 
 # Share of the fleet's bound that is used, which leaves room for repeats that
 # other nodes cannot see, such as calls made again by a repeated run.
-USED_SHARE: Final = 0.5
+USED_SHARE: Final = 0.8
 
 
 class RepeatLimits(msgspec.Struct, frozen=True):
@@ -71,13 +71,13 @@
         """Count the first send of a client's request."""
         self._requests.setdefault(service, WindowCount()).add(self._now())
 
-    def take(self, service: str) -> bool:
-        """Spend one repeat; false when the budget is exhausted."""
+    def take(self, service: str, reserve: float = 0.0) -> bool:
+        """Spend one repeat; false when only the reserved share is left."""
         part = self._now()
         requests = self._requests.setdefault(service, WindowCount()).total(part)
         repeats = self._repeats.setdefault(service, WindowCount())
         allowed = self.limits.ratio * requests + self.limits.slack / self.nodes
-        if repeats.total(part) + 1 > USED_SHARE * allowed:
+        if repeats.total(part) + 1 > USED_SHARE * (1.0 - reserve) * allowed:
             return False
         repeats.add(part)
         return True
--- a/src/heathermount/gateway/entry.py
+++ b/src/heathermount/gateway/entry.py
@@ -50,6 +50,15 @@
 # Longest wait for the first connection to a peer, in seconds.
 CONNECT_WAIT_S: Final = 0.5
 
+SERVER_ERROR: Final = 500
+
+# A request is run again only if this share of its objective is left.
+REPEAT_SHARE: Final = 0.5
+
+# Share of the repeat budget that calls of servers leave to clients' requests:
+# these need one success, a chain of calls needs all of its calls to succeed.
+CALL_RESERVE: Final = 0.5
+
 # Attempts that cost no server anything, for one request.
 FREE_ATTEMPTS: Final = 3
 FREE_REASONS: Final = frozenset(
@@ -103,8 +112,10 @@
     """Takes requests from clients and from the local backend server."""
 
     __slots__ = (
+        "_answered_routes",
         "_balancer",
         "_budget",
+        "_calling_routes",
         "_clock",
         "_dialect",
         "_dropped_headers",
@@ -149,6 +160,9 @@
         self._links = links
         self._thresholds = thresholds
         self._execute_here = execute_here
+        # Routes whose requests make calls, and routes that were answered.
+        self._calling_routes: set[str] = set()
+        self._answered_routes: set[str] = set()
         # Finds the running request of the local server that made a call.
         self._find_parent = find_parent
         self._fair_cohorts = FairCohorts(clock)
@@ -166,7 +180,7 @@
         """Answer one request of a client or of the backend server."""
         try:
             call = self._open(request)
-            answer = await self._charge_and_dispatch(call)
+            answer = await self._follow(call)
             return HttpResponse(answer.status, answer.headers, answer.body)
         except Refusal as refusal:
             self._log_refusal(request, refusal)
@@ -273,9 +287,23 @@
             raise make_refusal(Reason.KEY_UNKNOWN, Outcome.NOT_RUN)
         return owner
 
+    async def _follow(self, call: Call) -> Answer:
+        """Dispatch a call and note its end at the request that it belongs to."""
+        parent = call.parent
+        if parent is None:
+            return await self._charge_and_dispatch(call)
+        parent.calls += 1
+        succeeded = False
+        try:
+            answer = await self._dispatch(call)
+            succeeded = answer.status < SERVER_ERROR
+            return answer
+        finally:
+            if not succeeded:
+                parent.call_failed = True
+
     async def _charge_and_dispatch(self, call: Call) -> Answer:
-        if call.parent is None:
-            self._reject_early(call)
+        self._reject_early(call)
         if call.organisation is None:
             return await self._dispatch(call)
         await self._quota.acquire(call.organisation)
@@ -310,15 +338,17 @@
             self._thresholds.observe(call.route.name, answer.thresholds)
             if call.parent is not None:
                 call.parent.observe(answer.thresholds)
+            if answer.sent and not answer.crashed:
+                self._learn_calls(call.route.name, answer.calls)
             if answer.sent:
                 call.sends += 1
                 if call.sends == 1 and call.organisation is not None:
                     self._budget.sent(message.service)
-            if not answer.reason:
+            if not answer.reason and not self._may_run_again(call, answer):
                 return answer
             if answer.outcome != Outcome.NOT_RUN:
                 call.maybe_ran = True
-            if not self._may_repeat(call, answer):
+            if answer.reason and not self._may_repeat(call, answer):
                 refusal = refusal_of(answer)
                 raise make_refusal(refusal.reason, call.outcome, refusal.retry_after_s)
 
@@ -375,6 +405,7 @@
             refusal = make_refusal(
                 Reason.SERVER_FAILED if error.sent else Reason.NO_SERVER, outcome
             )
+            crashed = error.sent
             self._log.record(
                 "peer-failed",
                 request=message.request_id.decode("latin-1"),
@@ -382,7 +413,15 @@
                 sent=error.sent,
                 error=str(error),
             )
-            return Answer(refusal.status, [], b"", outcome, refusal.reason)
+            return Answer(
+                refusal.status,
+                [],
+                b"",
+                outcome,
+                refusal.reason,
+                sent=crashed,
+                crashed=crashed,
+            )
         except TimeoutError:
             return Answer(504, [], b"", Outcome.UNKNOWN, Reason.DEADLINE, sent=True)
         finally:
@@ -417,14 +456,48 @@
             raise PeerLost(f"{member.node} sent another message than an answer")
         return answer
 
+    def _learn_calls(self, route: str, calls: int) -> None:
+        if calls:
+            self._calling_routes.add(route)
+        else:
+            self._answered_routes.add(route)
+
+    def _may_run_again(self, call: Call, answer: Answer) -> bool:
+        """Decide whether to run a request again that has run or may have.
+
+        Only an idempotent request that makes no calls: it is the cheapest
+        place to repeat, and a repeat there saves the work of the whole chain
+        above it. Others are left to the client, because a repeated run repeats
+        all calls below it.
+        """
+        if not answer.reason and answer.status < SERVER_ERROR:
+            return False
+        if not call.message.idempotent or answer.calls:
+            return False
+        route = call.route.name
+        if route in self._calling_routes or route not in self._answered_routes:
+            return False
+        if call.sends >= call.route.max_attempts:
+            return False
+        remaining_s = call.deadline - self._clock.monotonic()
+        if remaining_s < REPEAT_SHARE * call.route.objective_s:
+            return False
+        return self._take_repeat(call)
+
+    def _take_repeat(self, call: Call) -> bool:
+        reserve = CALL_RESERVE if call.organisation is None else 0.0
+        return self._budget.take(call.message.service, reserve)
+
     def _may_repeat(self, call: Call, answer: Answer) -> bool:
         """Decide whether to send a request to another server.
 
-        Only with proof that it has not run. An attempt that cost no server
-        anything is free; one that reached a server draws on the budget.
+        With proof that it has not run, an attempt that cost no server anything
+        is free and one that reached a server draws on the budget.
         """
         if answer.outcome != Outcome.NOT_RUN:
-            return False
+            if answer.reason == Reason.DEADLINE:
+                return False
+            return self._may_run_again(call, answer)
         if not answer.sent:
             if answer.reason not in FREE_REASONS or call.free < 1:
                 return False
@@ -432,7 +505,7 @@
             return True
         if call.sends >= call.route.max_attempts:
             return False
-        return self._budget.take(call.message.service)
+        return self._take_repeat(call)
 
 
 def cohort_of(request_id: bytes) -> int:
@@ -444,8 +517,13 @@
     """Tell whether an answer speaks for its server; None if it tells nothing."""
     if answer is None:
         return None
+    if answer.call_failed:
+        # The fault is in a service below.
+        return None
     if not answer.reason:
-        return answer.status < 500
+        return answer.status < SERVER_ERROR
     if answer.reason in (Reason.SERVER_FAILED, Reason.ANSWER_BROKEN, Reason.NO_SERVER):
         return False
+    if answer.reason == Reason.SHED:
+        return not answer.sent
     return None if answer.reason == Reason.DEADLINE else True
--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -46,6 +46,9 @@
 # callers that the node does not know.
 SPARE_CONNECTIONS: Final = 8
 
+# Share of its slots from which a server may be overloaded.
+NEARLY_FULL: Final = 0.8
+
 # Statuses with which a server tells that it has not run a request.
 MISDIRECTED: Final = 421
 
@@ -77,11 +80,13 @@
     the entry node learns what is short deep in the chain.
     """
 
-    __slots__ = ("message", "permit", "thresholds")
+    __slots__ = ("call_failed", "calls", "message", "permit", "thresholds")
 
     def __init__(self, message: Execute, permit: Permit) -> None:
         self.message = message
         self.permit = permit
+        self.calls = 0
+        self.call_failed = False
         self.thresholds: dict[str, ServiceThreshold] = {}
 
     def observe(self, thresholds: list[ServiceThreshold]) -> None:
@@ -267,6 +272,8 @@
             self.contexts[message.request_id] = context
             answer, result = await self._run(message, deadline)
             answer.thresholds = list(context.thresholds.values())
+            answer.calls = context.calls
+            answer.call_failed = context.call_failed
             return answer
         finally:
             self.contexts.pop(message.request_id, None)
@@ -339,7 +346,7 @@
             return answer_of(refusal, sent=True), RunResult.FAILED
         if find_header(answer.headers, dialect.not_executed):
             refusal = make_refusal(Reason.SHED, Outcome.NOT_RUN)
-            return answer_of(refusal, sent=True), RunResult.SHED_BY_SERVER
+            return answer_of(refusal, sent=True), self._judge_shed()
         signed = bool(find_header(answer.headers, dialect.signature))
         if 200 <= answer.status < 300 and not signed:
             request = message.request_id.decode("latin-1")
@@ -352,6 +359,18 @@
             result,
         )
 
+    def _judge_shed(self) -> RunResult:
+        """Tell whether a refusal by the server means that it is overloaded.
+
+        All its requests come through this node: a server that refuses while
+        slots are free is faulty, and a lower limit would not help it.
+        """
+        admission, announcement = self.admission, self.announcement
+        assert admission is not None and announcement is not None
+        if admission.load().running >= NEARLY_FULL * announcement.slots:
+            return RunResult.SHED_BY_SERVER
+        return RunResult.FAILED
+
     def _encode(self, message: Execute, server_id: str, remaining_s: float) -> bytes:
         dialect = self._dialect
         parts = [b"%b %b HTTP/1.1\r\n" % (message.method, message.target)]
--- a/src/heathermount/gateway/messages.py
+++ b/src/heathermount/gateway/messages.py
@@ -60,6 +60,9 @@
     sent: bool = False
     # True when the connection to the backend server broke while it ran.
     crashed: bool = False
+    # Calls that the run made itself, and whether one of them failed.
+    calls: int = 0
+    call_failed: bool = False
     load: Load | None = None
     thresholds: list[ServiceThreshold] = []
 
--- a/src/heathermount/routing/balancer.py
+++ b/src/heathermount/routing/balancer.py
@@ -27,6 +27,19 @@
 # The rest is a margin for calls of other nodes that no report shows yet.
 ROOM: Final = 0.8
 
+# Weight of one result in the recent share of failures. A server that fails fast
+# has few requests under way and would attract work, so it is passed over with a
+# probability of this many times the share, up to the given bound.
+FAILURE_WEIGHT: Final = 1 / 16
+AVOIDANCE: Final = 2.0
+MAX_AVOIDANCE: Final = 0.9
+
+# Share of failures below which a server is never passed over.
+FAILING: Final = 0.02
+
+# How much busier a server that is passed over seems.
+PASSED_OVER: Final = 8.0
+
 # Share of its limit that a cold server is given at first.
 COLD_SHARE: Final = 0.1
 
@@ -52,6 +65,7 @@
     __slots__ = (
         "backoff_s",
         "ejected_until",
+        "failing",
         "failures",
         "limit",
         "member",
@@ -66,6 +80,8 @@
         self.member = member
         self.outstanding = 0
         self.failures = 0
+        # Recent share of failed requests.
+        self.failing = 0.0
         self.backoff_s = 0.0
         self.ejected_until = float("-inf")
         self.limit = max(1, member.slots)
@@ -235,15 +251,23 @@
         # `random()` is several times faster than `sample()`.
         first = int(self._random.random() * count)
         state = states[first]
-        score = state.score(now, wall)
+        score = self._score(state, now, wall)
         if count > 1:
             second = int(self._random.random() * (count - 1))
             other = states[second if second < first else second + 1]
-            other_score = other.score(now, wall)
+            other_score = self._score(other, now, wall)
             if other_score < score:
                 return other, other_score
         return state, score
 
+    def _score(self, state: ServerState, now: float, wall: float) -> float:
+        score = state.score(now, wall)
+        if state.failing > FAILING:
+            avoidance = min(MAX_AVOIDANCE, AVOIDANCE * state.failing)
+            if self._random.random() < avoidance:
+                return PASSED_OVER * score
+        return score
+
     def _last_resort(self, group: Group, tried: Container[str]) -> ServerState | None:
         """Return the ejected server that would come back first."""
         choices = [
@@ -254,6 +278,7 @@
         return min(choices, key=lambda state: state.ejected_until, default=None)
 
     def _succeeded(self, state: ServerState, now: float) -> None:
+        state.failing *= 1.0 - FAILURE_WEIGHT
         state.failures = 0
         state.backoff_s = 0.0
         if state.ejected_until > now:
@@ -262,6 +287,7 @@
 
     def _failed(self, state: ServerState, now: float) -> None:
         state.failures += 1
+        state.failing += FAILURE_WEIGHT * (1.0 - state.failing)
         if state.ejected_until > now:
             # Calls sent before the ejection still fail.
             return
