Add stand-ins of the platform and tests of the gateway's HTTP sides

They found that connections being opened did not count towards the server's limit, and that unfinished heads were never timed out; both are mended.

--- a/src/heathermount/gateway/http.py
+++ b/src/heathermount/gateway/http.py
@@ -112,6 +112,7 @@
         "_body",
         "_closing",
         "_handler",
+        "_head_complete",
         "_headers",
         "_idle_since",
         "_limits",
@@ -119,6 +120,7 @@
         "_open",
         "_parser",
         "_reading_since",
+        "_received_at",
         "_refused",
         "_size",
         "_stopping",
@@ -149,6 +151,8 @@
         self._idle_since = self._loop.time()
         # Time of the first byte of an unfinished request, else 0.
         self._reading_since = 0.0
+        self._received_at = 0.0
+        self._head_complete = False
         self._closing = False
         self._refused = False
         self._target = b""
@@ -182,8 +186,9 @@
     def data_received(self, data: bytes) -> None:
         if self._refused:
             return
+        self._received_at = self._loop.time()
         if not self._reading_since:
-            self._reading_since = self._loop.time()
+            self._reading_since = self._received_at
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -218,6 +223,7 @@
                 self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
+        self._head_complete = True
         if self._headers is None or self._transport is None:
             return
         if find_header(self._headers, b"expect").lower() == b"100-continue":
@@ -256,8 +262,14 @@
         if not self.busy and not self._reading_since and self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close the connection at once, whatever is due on it."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def _reset_message(self) -> None:
         self._target = b""
+        self._head_complete = False
         self._headers = []
         self._body = []
         self._size = 0
@@ -326,8 +338,11 @@
         if self._transport is None:
             return
         if self._reading_since:
-            reading_s = now - self._reading_since
-            if self._headers and reading_s > limits.header_timeout_s + self._size:
+            # A body may take long as long as some of it arrives.
+            late_s = now - self._reading_since - limits.header_timeout_s
+            if self._head_complete:
+                late_s = now - self._received_at - limits.idle_timeout_s
+            if late_s > 0.0:
                 self._refuse(HTTPStatus.REQUEST_TIMEOUT)
                 return
         elif not self.busy and now - self._idle_since > limits.idle_timeout_s:
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -208,6 +208,16 @@
         )
         self._budget.limits = settings.repeat_limits
 
+    def close(self) -> None:
+        """Close all connections and listeners at once."""
+        self._links.close()
+        for server in self._servers:
+            server.close()
+        for connection in list(self._clients | self._observers):
+            connection.abort()
+        for peer in list(self._peers):
+            peer.close()
+
     async def run(self, control: Handler) -> None:
         """Serve until `stop`, then finish what runs; `control` takes heartbeats."""
         logging.info(
--- a/src/heathermount/gateway/upstream.py
+++ b/src/heathermount/gateway/upstream.py
@@ -218,6 +218,7 @@
     """Reused connections to one backend server, below its connection limit."""
 
     __slots__ = (
+        "_connecting",
         "_connections",
         "_host",
         "_idle",
@@ -241,6 +242,7 @@
         self.opened = 0
         self._loop = asyncio.get_running_loop()
         self._connections: set[ServerConnection] = set()
+        self._connecting = 0
         self._idle: deque[ServerConnection] = deque()
         self._waiters: deque[asyncio.Future[None]] = deque()
 
@@ -298,19 +300,23 @@
         return None
 
     async def _connect(self) -> ServerConnection:
-        if len(self._connections) >= self.limit:
+        while len(self._connections) + self._connecting >= self.limit:
             await self._wait_for_slot()
             idle = self._take_idle()
             if idle is not None:
                 return idle
         self.opened += 1
+        self._connecting += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self._loop.create_connection(
                     lambda: ServerConnection(self), self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
+            self._wake()
             raise ServerUnreachable(f"{self.address}: {error!r}") from error
+        finally:
+            self._connecting -= 1
         self._connections.add(connection)
         return connection
 
--- /dev/null
+++ b/src/heathermount/standins/platform_server.py
@@ -0,0 +1,204 @@
+"""Stand-in of a backend server on the platform, with faulty answers on demand."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import Final
+
+__all__ = ["Fault", "PlatformServerStandIn", "ServedRequest"]
+
+READ_LIMIT_BYTES: Final = 1_048_576
+
+
+class Fault(Enum):
+    """How a request is answered."""
+
+    NONE = "none"
+    SHED = "shed"
+    ERROR = "error"
+    # Breaks the connection off in the middle of the answer.
+    TRUNCATED = "truncated"
+    # Sends a second answer with another identifier after the first.
+    EXTRA = "extra"
+    # Sends the answer to another request before the right one.
+    CROSSED = "crossed"
+    # Sends an answer without a length that ends with the connection.
+    UNFRAMED = "unframed"
+    # The same, but the connection is reset on the way.
+    UNFRAMED_RESET = "unframed-reset"
+    # Runs the request and closes the connection without an answer.
+    LOST = "lost"
+    # Sends bytes that are no HTTP.
+    GARBAGE = "garbage"
+    UNSIGNED = "unsigned"
+
+
+class ServedRequest:
+    """A request that the server has run."""
+
+    __slots__ = ("body", "headers", "method", "target")
+
+    def __init__(
+        self, method: str, target: str, headers: dict[str, str], body: bytes
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get("x-heathermount-request-id", "")
+
+
+class PlatformServerStandIn:
+    """One backend server: runs requests, remembers them, answers with faults.
+
+    `work` is awaited for each run, `faults` are used up in order.
+    """
+
+    def __init__(self, server_id: str, work_s: float = 0.0) -> None:
+        self.server_id = server_id
+        self.work_s = work_s
+        self.work: Callable[[ServedRequest], Awaitable[int]] | None = None
+        self.faults: list[Fault] = []
+        self.served: list[ServedRequest] = []
+        self.cancelled = 0
+        self.connections = 0
+        self.keep_alive = ""
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(
+            self._accept, "127.0.0.1", 0, limit=READ_LIMIT_BYTES
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """End like a crashed process: nothing listens and connections break."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def ids(self) -> list[str]:
+        return [request.request_id for request in self.served]
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._serve(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError):
+            # The node has closed the connection.
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        request = await read_request(reader)
+        fault = self.faults.pop(0) if self.faults else Fault.NONE
+        expected = request.headers.get("x-heathermount-expected-instance")
+        if expected not in (None, self.server_id):
+            writer.write(make_answer(421, request.request_id, b"", signed=False))
+            return True
+        if fault is Fault.SHED:
+            not_run = "X-Heathermount-Not-Executed: 1\r\n"
+            writer.write(make_answer(503, request.request_id, b"", False, not_run))
+            return True
+        self.served.append(request)
+        status = await self._run(request, reader)
+        return self._write(writer, request, fault, status)
+
+    async def _run(self, request: ServedRequest, reader: asyncio.StreamReader) -> int:
+        if self.work is not None:
+            return await self.work(request)
+        closed = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait([closed], timeout=self.work_s)
+        if done:
+            self.cancelled += 1
+            raise ConnectionResetError("the node has left")
+        closed.cancel()
+        await asyncio.wait([closed])
+        return 200
+
+    def _write(
+        self,
+        writer: asyncio.StreamWriter,
+        request: ServedRequest,
+        fault: Fault,
+        status: int,
+    ) -> bool:
+        request_id = request.request_id
+        body = f"{self.server_id} {request.target}".encode()
+        extra = f"Keep-Alive: {self.keep_alive}\r\n" if self.keep_alive else ""
+        whole = make_answer(status, request_id, body, True, extra)
+        match fault:
+            case Fault.ERROR:
+                writer.write(make_answer(500, request_id, b"failed"))
+            case Fault.TRUNCATED:
+                writer.write(whole[:-3])
+                return False
+            case Fault.EXTRA:
+                writer.write(whole + make_answer(200, "another", b"extra"))
+            case Fault.CROSSED:
+                writer.write(make_answer(200, "another", b"other") + whole)
+            case Fault.UNFRAMED:
+                writer.write(unframe(whole))
+                return False
+            case Fault.UNFRAMED_RESET:
+                writer.write(unframe(whole)[:-3])
+                writer.get_extra_info("socket").setsockopt(1, 13, b"\1\0\0\0\0\0\0\0")
+                return False
+            case Fault.LOST:
+                return False
+            case Fault.GARBAGE:
+                writer.write(b"no answer at all\r\n\r\n")
+            case Fault.UNSIGNED:
+                writer.write(make_answer(200, request_id, body, signed=False))
+            case _:
+                writer.write(whole)
+        return True
+
+
+async def read_request(reader: asyncio.StreamReader) -> ServedRequest:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    method, target, _ = head[0].split(" ")
+    headers = {}
+    for line in head[1:]:
+        name, _, value = line.partition(": ")
+        if name:
+            headers[name.lower()] = value
+    length = int(headers.get("content-length", 0))
+    body = await reader.readexactly(length) if length else b""
+    return ServedRequest(method, target, headers, body)
+
+
+def make_answer(
+    status: int, request_id: str, body: bytes, signed: bool = True, extra: str = ""
+) -> bytes:
+    stamp = "X-Heathermount-Response-Stamp: stamp-1\r\n" if signed else ""
+    head = (
+        f"HTTP/1.1 {status} Status\r\nX-Heathermount-Request-Id: {request_id}\r\n"
+        f"{stamp}{extra}X-Heathermount-Server-Load: 1,0,8\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def unframe(answer: bytes) -> bytes:
+    """Return an answer without its length."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    lines = [
+        line for line in head.split(b"\r\n") if not line.startswith(b"Content-Length")
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/builders_gateway.py
@@ -0,0 +1,433 @@
+"""Builders of gateway nodes, their configuration, and what surrounds them."""
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Any
+
+from heathermount.clocks import Clock, SystemClock
+from heathermount.config.settings import PolicySettings
+from heathermount.events import EventLog
+from heathermount.gateway.configuration import ConfigurationTracker
+from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.document import (
+    GatewayDocument,
+    OrganisationEntry,
+    RouteEntry,
+    ServiceEntry,
+    Target,
+    digest_key,
+)
+from heathermount.gateway.execution import Announcement, Execution
+from heathermount.gateway.http import (
+    HttpConnection,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+)
+from heathermount.gateway.messages import Execute
+from heathermount.gateway.node import GatewayNode
+from heathermount.gateway.settings import GatewaySettings
+from heathermount.invariants import Invariants
+from heathermount.platform.dialect import PlatformDialect
+from heathermount.platform.heartbeats import HeartbeatListener
+from heathermount.platform.operator import PlatformConfigurationReader
+from heathermount.platform.store import PlatformStore
+from heathermount.standins.platform_server import PlatformServerStandIn
+from heathermount.standins.platform_store import PlatformStoreStandIn
+from heathermount.store.interface import WatchedStore
+
+KEY = b"key-of-anna"
+HOST = "shop.example"
+
+
+def run_async(body: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a test body on an event loop of its own, for at most 30 s."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(30):
+            await body()
+
+    asyncio.run(bounded())
+
+
+async def wait_for(condition: Callable[[], bool], seconds: float = 10.0) -> None:
+    """Wait until a condition holds; fail after a deadline."""
+    async with asyncio.timeout(seconds):
+        while not condition():  # noqa: ASYNC110 - conditions have no event
+            await asyncio.sleep(0.01)
+
+
+def make_route(
+    name: str = "stock",
+    prefix: str = "/stock/",
+    services: tuple[str, ...] = ("pantry",),
+    **fields: Any,
+) -> RouteEntry:
+    values: dict[str, Any] = {
+        "host": HOST,
+        "targets": [Target(service) for service in services],
+        "idempotent": True,
+        "timeout_s": 2.0,
+        "objective_s": 1.0,
+        "priority": 1,
+        "max_attempts": 2,
+        "public": False,
+    } | fields
+    return RouteEntry(name=name, prefix=prefix, **values)
+
+
+def make_organisation(name: str = "anna", **fields: Any) -> OrganisationEntry:
+    values: dict[str, Any] = {"keys": [f"key-of-{name}"], "priority": 1} | fields
+    return OrganisationEntry(name, **values)
+
+
+def make_document(
+    version: int = 1,
+    routes: list[RouteEntry] | None = None,
+    organisations: list[OrganisationEntry] | None = None,
+) -> GatewayDocument:
+    if routes is None:
+        routes = [make_route()]
+    if organisations is None:
+        organisations = [make_organisation()]
+    return GatewayDocument(
+        version,
+        routes,
+        [
+            ServiceEntry("pantry", "/health", 100),
+            ServiceEntry("orders", "/health", 100),
+        ],
+        organisations,
+        HttpLimits(),
+    )
+
+
+def make_tracker(
+    clock: Clock, document: GatewayDocument | None = None, freshness_s: float = 3.0
+) -> ConfigurationTracker:
+    tracker = ConfigurationTracker(clock, freshness_s)
+    tracker.apply(document or make_document(), "test")
+    tracker.confirm(clock.monotonic())
+    return tracker
+
+
+def make_announcement(address: str, **fields: Any) -> Announcement:
+    values: dict[str, Any] = {
+        "server_id": "i-1",
+        "service": "pantry",
+        "slots": 8,
+        "draining": False,
+        "cold_start_s": 0.0,
+        "born_ms": 1,
+        "sequence": 1,
+    } | fields
+    return Announcement(address=address, **values)
+
+
+def make_execution(
+    clock: Clock, tracker: ConfigurationTracker, drain_s: float = 2.0
+) -> Execution:
+    events = EventLog("n-1", clock, quiet=True)
+    return Execution(
+        "pantry",
+        PlatformDialect(),
+        tracker,
+        clock,
+        Random(1),
+        events,
+        Invariants(events),
+        DecisionLog(clock),
+        PolicySettings(),
+        drain_s,
+        lambda: None,
+    )
+
+
+def make_execute(request_id: bytes = b"r-1", **fields: Any) -> Execute:
+    values: dict[str, Any] = {
+        "service": "pantry",
+        "method": b"GET",
+        "target": b"/stock/1",
+        "headers": [
+            (b"host", HOST.encode()),
+            (b"x-heathermount-request-id", request_id),
+        ],
+        "body": b"",
+        "organisation": "anna",
+        "key_digest": digest_key(KEY),
+        "account": "anna",
+        "importance": 1,
+        "cohort": 0,
+        "deadline_s": 1.0,
+        "patience_s": 1.0,
+        "idempotent": True,
+        "version": 1,
+    } | fields
+    return Execute(request_id=request_id, **values)
+
+
+def encode_configuration(document: GatewayDocument) -> bytes:
+    """Return a configuration as the platform's operator writes it."""
+    return json.dumps(
+        {
+            "Version": document.version,
+            "Routes": [
+                {
+                    "Name": route.name,
+                    "Host": route.host,
+                    "Prefix": route.prefix,
+                    "Kind": "safe" if route.idempotent else "unsafe",
+                    "Timeout": f"{int(route.timeout_s * 1000)}ms",
+                    "TargetLatency": f"{int(route.objective_s * 1000)}ms",
+                    "Priority": route.priority,
+                    "TrafficSplit": [
+                        {"Service": target.service, "Weight": target.weight}
+                        for target in route.targets
+                    ],
+                    "MaxAttempts": route.max_attempts,
+                    "Public": route.public,
+                }
+                for route in document.routes
+            ],
+            "Services": [
+                {
+                    "Name": service.name,
+                    "HealthCheckPath": service.health_path,
+                    "ConnectionLimit": service.connections,
+                }
+                for service in document.services
+            ],
+            "Limits": {
+                "MaxHeaderBytes": 16384,
+                "MaxBodyBytes": 1000000,
+                "HeaderTimeout": "3000ms",
+                "IdleTimeout": "15000ms",
+            },
+            "Tenants": [
+                {
+                    "Name": one.name,
+                    "ApiKeys": one.keys,
+                    "Priority": one.priority,
+                    "RatePerS": one.rate,
+                    "Burst": one.burst,
+                }
+                for one in document.organisations
+            ],
+        }
+    ).encode()
+
+
+def find_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [int(one.getsockname()[1]) for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+def make_settings(
+    name: str, service: str, store: str, **bounds: Any
+) -> GatewaySettings:
+    ports = find_ports(4)
+    listen = ("outbound", "peers", "readiness", "control")
+    return GatewaySettings.from_config(
+        {
+            "node": {
+                "name": name,
+                "service": service,
+                "failure_domain": "a",
+                "application": "127.0.0.1:1",
+                "first_start": True,
+            },
+            "listen": {
+                key: f"127.0.0.1:{port}"
+                for key, port in zip(listen, ports, strict=True)
+            },
+            "store": {"endpoint": store},
+            "bounds": bounds,
+        },
+        "test",
+    )
+
+
+class RunningNode:
+    """A node in this process with its backend server."""
+
+    def __init__(
+        self, settings: GatewaySettings, server: PlatformServerStandIn
+    ) -> None:
+        self.settings = settings
+        self.server = server
+        store = PlatformStore.from_config(settings.store.endpoint, 1.0)
+        self.node = GatewayNode(
+            settings,
+            store,
+            PlatformConfigurationReader(store),
+            PlatformDialect(),
+            SystemClock(),
+            Random(1),
+        )
+        self.task: asyncio.Task[None] | None = None
+        self.sequence = 0
+
+    async def start(self) -> None:
+        service = self.settings.node.service
+        heartbeats = HeartbeatListener(self.node.execution, service)
+        self.task = asyncio.create_task(self.node.run(heartbeats.handle))
+        await wait_for(lambda: not self.node.unready_reasons())
+        assert await self.beat() == 200
+
+    async def beat(self, state: str = "ready") -> int:
+        """Send a heartbeat of the backend server; return the status."""
+        self.sequence += 1
+        body = {
+            "Service": self.settings.node.service,
+            "Address": self.server.address,
+            "Zone": "a",
+            "Version": "v1",
+            "Slots": 8,
+            "State": state,
+            "ColdRemaining": "0ms",
+            "Sequence": self.sequence,
+            "born": 1,
+        }
+        status, _, _ = await send_request(
+            self.settings.listen.control,
+            "PUT",
+            f"/heathermount/instances/{self.server.server_id}",
+            body=json.dumps(body).encode(),
+        )
+        return status
+
+    async def request(
+        self, target: str = "/stock/1", request_id: str = "r-1", **fields: Any
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request of a client on this instance."""
+        return await send_request(
+            self.settings.listen.outbound,
+            fields.pop("method", "GET"),
+            target,
+            request_id=request_id,
+            **fields,
+        )
+
+    async def stop(self) -> None:
+        if self.task is None:
+            return
+        self.task.cancel()
+        await asyncio.wait([self.task])
+        self.node.close()
+
+
+async def send_request(
+    address: str,
+    method: str,
+    target: str,
+    request_id: str = "r-1",
+    key: str = KEY.decode(),
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    host: str = HOST,
+) -> tuple[int, dict[str, str], bytes]:
+    """Send one request on a new connection; return status, headers and body."""
+    name, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(name, int(port))
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        f"Host: {host}",
+        f"X-Heathermount-Request-Id: {request_id}",
+        f"Content-Length: {len(body)}",
+    ]
+    if key:
+        lines.append(f"X-Heathermount-Key: {key}")
+    lines += [f"{one}: {value}" for one, value in (headers or {}).items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    try:
+        return await read_response(reader)
+    finally:
+        writer.close()
+
+
+async def read_response(
+    reader: asyncio.StreamReader,
+) -> tuple[int, dict[str, str], bytes]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    status = int(head[0].split(" ")[1])
+    headers = {}
+    for line in head[1:]:
+        name, _, value = line.partition(": ")
+        if name:
+            headers[name.lower()] = value
+    return status, headers, await reader.readexactly(int(headers["content-length"]))
+
+
+@asynccontextmanager
+async def run_fleet(
+    services: tuple[str, ...] = ("pantry", "pantry"),
+    document: GatewayDocument | None = None,
+    **bounds: Any,
+) -> AsyncIterator[tuple[PlatformStoreStandIn, list[RunningNode]]]:
+    """Run a store and one node with a backend server for each named service."""
+    store = PlatformStoreStandIn()
+    await store.start()
+    store.operate("op/config", encode_configuration(document or make_document()))
+    nodes: list[RunningNode] = []
+    try:
+        for i, service in enumerate(services):
+            server = PlatformServerStandIn(f"i-{i}")
+            await server.start()
+            settings = make_settings(f"n-{i}", service, store.address, **bounds)
+            nodes.append(RunningNode(settings, server))
+            await nodes[-1].start()
+        await wait_for(lambda: all(is_complete(one, nodes) for one in nodes))
+        yield store, nodes
+    finally:
+        for one in nodes:
+            await one.stop()
+            one.server.stop()
+        await store.stop()
+
+
+def is_complete(one: RunningNode, nodes: list[RunningNode]) -> bool:
+    """Tell whether a node knows the servers of all nodes and is connected."""
+    records = one.node.registry.nodes
+    return len(records) == len(nodes) and all(
+        record.server is not None for record in records.values()
+    )
+
+
+@asynccontextmanager
+async def serve_platform(_: object) -> AsyncIterator[WatchedStore]:
+    """Serve the platform's store and yield its client."""
+    store = PlatformStoreStandIn()
+    await store.start()
+    try:
+        yield PlatformStore.from_config(store.address, 1.0)
+    finally:
+        await store.stop()
+
+
+@asynccontextmanager
+async def serve_http(
+    handler: Callable[[HttpRequest], Awaitable[HttpResponse]], limits: HttpLimits
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    """Serve a handler and yield one connection to it."""
+    connections: set[HttpConnection] = set()
+    server = await asyncio.get_running_loop().create_server(
+        lambda: HttpConnection(handler, lambda: limits, connections, lambda: False),
+        "127.0.0.1",
+        0,
+    )
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+        server.close()
--- /dev/null
+++ b/tests/test_gateway_http.py
@@ -0,0 +1,128 @@
+"""The gateway's HTTP listener."""
+
+import asyncio
+
+import pytest
+
+from builders_gateway import read_response, run_async, serve_http
+from heathermount.gateway.http import HttpLimits, HttpRequest, HttpResponse
+
+LIMITS = HttpLimits(2000, 3000, 0.2, 0.4)
+
+
+async def echo(request: HttpRequest) -> HttpResponse:
+    headers = [(b"x-method", request.method)]
+    return HttpResponse(200, headers, request.target + b" " + request.body)
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "body"),
+    [
+        (b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 200, b"/a "),
+        (b"POST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", 200, b"/b abc"),
+        (
+            b"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+            200,
+            b"/c abcde",
+        ),
+        (b"no request\r\n\r\n", 400, b""),
+        (
+            b"POST /d HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked"
+            b"\r\n\r\n0\r\n\r\n",
+            400,
+            b"",
+        ),
+        (b"GET /e HTTP/1.1\r\nx: " + b"y" * 3000 + b"\r\n\r\n", 431, b""),
+        (
+            b"POST /f HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + b"z" * 5000,
+            413,
+            b"",
+        ),
+    ],
+)
+def test_answers_requests_of_every_form(data: bytes, status: int, body: bytes) -> None:
+    """Guards against smuggled, oversized or malformed requests being passed on."""
+
+    async def check() -> None:
+        async with serve_http(echo, LIMITS) as (reader, writer):
+            writer.write(data)
+            found = await read_response(reader)
+            assert (found[0], found[2]) == (status, body)
+            if status != 200:
+                assert found[1]["connection"] == "close"
+
+    run_async(check)
+
+
+def test_answers_pipelined_requests_in_order() -> None:
+    """Guards against an answer that belongs to another request."""
+
+    async def slow(request: HttpRequest) -> HttpResponse:
+        await asyncio.sleep(0.02 if request.target == b"/0" else 0.0)
+        return await echo(request)
+
+    async def check() -> None:
+        async with serve_http(slow, LIMITS) as (reader, writer):
+            for i in range(40):
+                writer.write(b"GET /%d HTTP/1.1\r\n\r\n" % i)
+            for i in range(40):
+                assert (await read_response(reader))[2] == b"/%d " % i
+
+    run_async(check)
+
+
+def test_stops_work_when_the_client_leaves() -> None:
+    """Guards against servers that work on for clients that have left."""
+    cancelled = asyncio.Event()
+
+    async def wait(request: HttpRequest) -> HttpResponse:
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+        return HttpResponse(200, [])
+
+    async def check() -> None:
+        async with serve_http(wait, LIMITS) as (_, writer):
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            await asyncio.sleep(0.02)
+            writer.close()
+            await asyncio.wait_for(cancelled.wait(), 2.0)
+
+    run_async(check)
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [(b"", b""), (b"GET / HTTP/1.1\r\nHost:", b"HTTP/1.1 408")],
+    ids=["idle", "unfinished"],
+)
+def test_closes_idle_and_unfinished_connections(data: bytes, expected: bytes) -> None:
+    """Guards against connections that are held open for ever."""
+
+    async def check() -> None:
+        async with serve_http(echo, HttpLimits(2000, 3000, 0.05, 0.1)) as (
+            reader,
+            writer,
+        ):
+            writer.write(data)
+            rest = await asyncio.wait_for(reader.read(), 5.0)
+            assert rest.startswith(expected)
+
+    run_async(check)
+
+
+def test_answers_a_failed_handler_without_a_promise() -> None:
+    """Guards against an error in the node that ends it or reads as not run."""
+
+    async def fail(request: HttpRequest) -> HttpResponse:
+        raise RuntimeError("a fault of the program")
+
+    async def check() -> None:
+        async with serve_http(fail, LIMITS) as (reader, writer):
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            assert (await read_response(reader))[0] == 502
+
+    run_async(check)
--- /dev/null
+++ b/tests/test_gateway_upstream.py
@@ -0,0 +1,128 @@
+"""The gateway's client of backend servers."""
+
+import asyncio
+
+import pytest
+
+from builders_gateway import run_async, wait_for
+from heathermount.gateway.upstream import ServerBroke, ServerPool, ServerUnreachable
+from heathermount.standins.platform_server import Fault, PlatformServerStandIn
+
+ID_HEADER = b"x-heathermount-request-id"
+
+
+def encode(request_id: str) -> bytes:
+    header = f"{ID_HEADER.decode()}: {request_id}"
+    return f"GET /{request_id} HTTP/1.1\r\n{header}\r\n\r\n".encode()
+
+
+async def start(
+    *faults: Fault, work_s: float = 0.0
+) -> tuple[PlatformServerStandIn, ServerPool]:
+    server = PlatformServerStandIn("i-1", work_s)
+    server.faults = list(faults)
+    await server.start()
+    return server, ServerPool(server.address, ID_HEADER, 4)
+
+
+@pytest.mark.parametrize(
+    ("fault", "connections"),
+    [
+        (Fault.NONE, 1),
+        # Bytes that belong to no request spoil a connection.
+        (Fault.EXTRA, 2),
+        (Fault.CROSSED, 2),
+        (Fault.UNFRAMED, 2),
+    ],
+)
+def test_returns_the_answer_to_its_own_request(fault: Fault, connections: int) -> None:
+    """Guards against late, extra and unframed answers that reach another caller."""
+
+    async def check() -> None:
+        server, pool = await start(fault)
+        for request_id in ("r-1", "r-2", "r-3"):
+            answer = await pool.exchange(encode(request_id), request_id.encode())
+            assert answer.body == f"i-1 /{request_id}".encode()
+        assert server.connections == connections
+        server.stop()
+
+    run_async(check)
+
+
+@pytest.mark.parametrize(
+    ("fault", "answering"),
+    [
+        (Fault.TRUNCATED, True),
+        (Fault.UNFRAMED_RESET, True),
+        (Fault.LOST, False),
+        (Fault.GARBAGE, False),
+    ],
+)
+def test_never_takes_a_broken_answer_as_whole(fault: Fault, answering: bool) -> None:
+    """Guards against a part of an answer that is passed on as the whole."""
+
+    async def check() -> None:
+        server, pool = await start(fault)
+        with pytest.raises(ServerBroke) as caught:
+            await pool.exchange(encode("r-1"), b"r-1")
+        assert caught.value.answering is answering
+        answer = await pool.exchange(encode("r-2"), b"r-2")
+        assert answer.body == b"i-1 /r-2"
+        server.stop()
+
+    run_async(check)
+
+
+def test_closes_the_connection_of_a_cancelled_request() -> None:
+    """Guards against servers that work on for callers that have left."""
+
+    async def check() -> None:
+        server, pool = await start(work_s=5.0)
+        task = asyncio.create_task(pool.exchange(encode("r-1"), b"r-1"))
+        await wait_for(lambda: bool(server.served))
+        task.cancel()
+        await asyncio.wait([task])
+        await wait_for(lambda: server.cancelled == 1)
+        server.stop()
+
+    run_async(check)
+
+
+def test_stays_below_the_connection_limit() -> None:
+    """Guards against connections that the server would reset."""
+
+    async def check() -> None:
+        server, pool = await start(work_s=0.05)
+        ids = [f"r-{i}" for i in range(12)]
+        await asyncio.gather(*(pool.exchange(encode(one), one.encode()) for one in ids))
+        assert server.connections <= 4
+        assert sorted(server.ids()) == sorted(ids)
+        server.stop()
+
+    run_async(check)
+
+
+def test_tells_that_nothing_was_sent_when_nothing_listens() -> None:
+    """Guards against a request that counts as run although it was never sent."""
+
+    async def check() -> None:
+        server, pool = await start()
+        server.stop()
+        with pytest.raises(ServerUnreachable):
+            await pool.exchange(encode("r-1"), b"r-1")
+
+    run_async(check)
+
+
+def test_does_not_reuse_a_connection_that_the_server_may_close() -> None:
+    """Guards against a request lost to the server's idle timeout."""
+
+    async def check() -> None:
+        server, pool = await start()
+        server.keep_alive = "timeout=1"
+        await pool.exchange(encode("r-1"), b"r-1")
+        await pool.exchange(encode("r-2"), b"r-2")
+        assert server.connections == 2
+        server.stop()
+
+    run_async(check)
