Test the gateway's limits, execution, links, fleet and adapter

Change: property tests of quota shares and repeat budget, table tests of outcomes, keys and drains, fuzz tests of configuration and heartbeats, the store contract over the platform's client, and whole nodes against the stand-ins. Durations no longer accept digits of other scripts.

--- a/src/heathermount/config/durations.py
+++ b/src/heathermount/config/durations.py
@@ -5,7 +5,7 @@
 
 __all__ = ["parse_duration"]
 
-PATTERN: Final = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+PATTERN: Final = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 
 
 def parse_duration(text: str) -> float:
--- a/src/heathermount/standins/platform_store.py
+++ b/src/heathermount/standins/platform_store.py
@@ -105,6 +105,7 @@
 
     def operate(self, key: str, value: bytes) -> int:
         """Write a key as the operator; return the revision."""
+        self.revision += 1
         self._put(key, base64.b64encode(value).decode(), 0)
         self._announce()
         return self.revision
@@ -235,6 +236,7 @@
                     self.items[r["Key"]] for r in expected if r["Key"] in self.items
                 ]
                 return answer(412, {"items": [one.describe() for one in present]})
+        self.revision += 1
         for put in puts:
             self._put(put["Key"], put["Value"], put.get("Lease", 0))
         for key in deletes:
@@ -258,6 +260,7 @@
 
     def _end_lease(self, lease: int) -> None:
         self.leases.pop(lease, None)
+        self.revision += 1
         for key in [k for k, item in self.items.items() if item.lease == lease]:
             self._delete(key)
         self._announce()
@@ -271,7 +274,6 @@
                     self._end_lease(lease)
 
     def _put(self, key: str, value: str, lease: int) -> None:
-        self.revision += 1
         known = self.items.get(key)
         created = known.created if known is not None else self.revision
         item = StoredItem(key, value, self.revision, created, lease)
@@ -281,7 +283,6 @@
     def _delete(self, key: str) -> None:
         if self.items.pop(key, None) is None:
             return
-        self.revision += 1
         event = {"Key": key, "Revision": self.revision, "Tombstone": True}
         self.history.append((self.revision, event))
 
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -257,14 +257,59 @@
     )
 
 
+class StoreProxy:
+    """Forwards the connections of one node to the store until it is cut."""
+
+    def __init__(self, address: str) -> None:
+        self.target = address
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def cut(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self.target.rpartition(":")
+        there, back = await asyncio.open_connection(host, int(port))
+        self._writers |= {writer, back}
+        await asyncio.gather(copy_bytes(reader, back), copy_bytes(there, writer))
+
+
+async def copy_bytes(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    try:
+        while data := await reader.read(65536):
+            writer.write(data)
+    except OSError:
+        # The proxy was cut.
+        pass
+    writer.close()
+
+
 class RunningNode:
     """A node in this process with its backend server."""
 
     def __init__(
-        self, settings: GatewaySettings, server: PlatformServerStandIn
+        self,
+        settings: GatewaySettings,
+        server: PlatformServerStandIn,
+        proxy: StoreProxy,
     ) -> None:
         self.settings = settings
         self.server = server
+        self._proxy = proxy
         store = PlatformStore.from_config(settings.store.endpoint, 1.0)
         self.node = GatewayNode(
             settings,
@@ -284,6 +329,10 @@
         await wait_for(lambda: not self.node.unready_reasons())
         assert await self.beat() == 200
 
+    async def cut_from_store(self) -> None:
+        """Cut this node, and no other one, from the store."""
+        self._proxy.cut()
+
     async def beat(self, state: str = "ready") -> int:
         """Send a heartbeat of the backend server; return the status."""
         self.sequence += 1
@@ -383,14 +432,17 @@
         for i, service in enumerate(services):
             server = PlatformServerStandIn(f"i-{i}")
             await server.start()
-            settings = make_settings(f"n-{i}", service, store.address, **bounds)
-            nodes.append(RunningNode(settings, server))
+            proxy = StoreProxy(store.address)
+            await proxy.start()
+            settings = make_settings(f"n-{i}", service, proxy.address, **bounds)
+            nodes.append(RunningNode(settings, server, proxy))
             await nodes[-1].start()
         await wait_for(lambda: all(is_complete(one, nodes) for one in nodes))
         yield store, nodes
     finally:
         for one in nodes:
             await one.stop()
+            await one.cut_from_store()
             one.server.stop()
         await store.stop()
 
--- /dev/null
+++ b/tests/test_gateway_execution.py
@@ -0,0 +1,199 @@
+"""The node beside a backend server: what runs, what is refused, and when."""
+
+import asyncio
+
+import pytest
+
+from builders_gateway import (
+    make_announcement,
+    make_document,
+    make_execute,
+    make_execution,
+    make_organisation,
+    make_tracker,
+    run_async,
+    wait_for,
+)
+from heathermount.clocks import ManualClock, SystemClock
+from heathermount.gateway.execution import Execution
+from heathermount.standins.platform_server import Fault, PlatformServerStandIn
+from heathermount.values import Outcome, Reason
+
+
+class Place:
+    """An execution with its server and a clock that tests drive."""
+
+    def __init__(self, work_s: float = 0.0) -> None:
+        self.clock = ManualClock()
+        self.server = PlatformServerStandIn("i-1", work_s)
+        self.tracker = make_tracker(self.clock)
+        self.execution: Execution
+
+    async def start(self, slots: int = 8) -> None:
+        await self.server.start()
+        self.execution = make_execution(self.clock, self.tracker)
+        self.execution.announce(make_announcement(self.server.address, slots=slots))
+
+
+@pytest.mark.parametrize(
+    ("fault", "outcome", "reason", "ran"),
+    [
+        (Fault.NONE, Outcome.RAN, "", True),
+        (Fault.ERROR, Outcome.RAN, "", True),
+        (Fault.SHED, Outcome.NOT_RUN, Reason.SHED, False),
+        (Fault.LOST, Outcome.UNKNOWN, Reason.SERVER_FAILED, True),
+        (Fault.TRUNCATED, Outcome.UNKNOWN, Reason.ANSWER_BROKEN, True),
+        (Fault.GARBAGE, Outcome.UNKNOWN, Reason.SERVER_FAILED, True),
+        (Fault.UNSIGNED, Outcome.UNKNOWN, Reason.ANSWER_BROKEN, True),
+    ],
+)
+def test_outcomes_are_true(
+    fault: Fault, outcome: Outcome, reason: str, ran: bool
+) -> None:
+    """Guards against a refusal that says not run for a request that has run."""
+
+    async def check() -> None:
+        place = Place()
+        await place.start()
+        place.server.faults = [fault]
+        answer = await place.execution.execute(make_execute())
+        assert (answer.outcome, answer.reason) == (outcome, reason)
+        assert bool(place.server.served) is ran
+        place.server.stop()
+
+    run_async(check)
+
+
+def test_sends_the_servers_headers() -> None:
+    """Guards against a key at a backend server, or a missing organisation."""
+
+    async def check() -> None:
+        place = Place()
+        await place.start()
+        await place.execution.execute(make_execute(method=b"POST", body=b"abc"))
+        (request,) = place.server.served
+        assert request.body == b"abc"
+        assert request.headers["x-heathermount-tenant"] == "anna"
+        assert request.headers["x-heathermount-expected-instance"] == "i-1"
+        assert 0 < int(request.headers["x-heathermount-deadline-milliseconds"]) <= 1000
+        assert "x-heathermount-key" not in request.headers
+        place.server.stop()
+
+    run_async(check)
+
+
+def test_a_leaving_server_gets_no_requests() -> None:
+    """Guards against work that reaches a server after its departure was taken."""
+
+    async def check() -> None:
+        place = Place()
+        await place.start()
+        place.execution.withdraw("i-other")
+        assert not (await place.execution.execute(make_execute())).reason
+        place.execution.announce(
+            make_announcement(place.server.address, draining=True, sequence=2)
+        )
+        answer = await place.execution.execute(make_execute())
+        assert (answer.reason, answer.outcome) == (Reason.DRAINING, Outcome.NOT_RUN)
+        # A heartbeat that was sent before the departure comes late.
+        place.execution.announce(make_announcement(place.server.address, sequence=1))
+        assert not place.execution.serving
+        # A new start under the same name serves again.
+        place.execution.announce(make_announcement(place.server.address, born_ms=2))
+        assert not (await place.execution.execute(make_execute())).reason
+        place.server.stop()
+
+    run_async(check)
+
+
+def test_queued_requests_do_not_start_late_in_a_drain() -> None:
+    """Guards against a queue that outlasts the drain of its server."""
+
+    async def check() -> None:
+        place = Place(work_s=0.2)
+        await place.start(slots=1)
+        run = asyncio.create_task(place.execution.execute(make_execute(b"r-1")))
+        await wait_for(lambda: bool(place.server.served))
+        queued = asyncio.create_task(place.execution.execute(make_execute(b"r-2")))
+        await asyncio.sleep(0.01)
+        place.execution.withdraw("i-1")
+        place.clock.advance(1.5)
+        assert not (await run).reason
+        assert (await queued).reason in (Reason.DRAINING, Reason.DEADLINE)
+        assert place.server.ids() == ["r-1"]
+        place.server.stop()
+
+    run_async(check)
+
+
+@pytest.mark.parametrize(
+    ("version", "known_version", "keys", "age_s", "reason"),
+    [
+        (1, 1, ["key-of-anna"], 0.0, ""),
+        # The key was withdrawn in a version that this node knows already.
+        (1, 2, ["other"], 0.0, Reason.KEY_WITHDRAWN),
+        # The entry node knows a newer version, in which the key is new.
+        (3, 2, ["other"], 0.0, ""),
+        # A withdrawal may have been missed.
+        (1, 1, ["key-of-anna"], 3.5, Reason.CONFIGURATION_STALE),
+        (3, 2, ["other"], 3.5, Reason.CONFIGURATION_STALE),
+    ],
+)
+def test_checks_the_key_again_before_the_run(
+    version: int, known_version: int, keys: list[str], age_s: float, reason: str
+) -> None:
+    """Guards against a withdrawn key that works at a suspended or stale entry."""
+
+    async def check() -> None:
+        place = Place()
+        organisations = [make_organisation(keys=keys)]
+        document = make_document(known_version, organisations=organisations)
+        place.tracker = make_tracker(place.clock, document)
+        await place.start()
+        place.clock.advance(age_s)
+        answer = await place.execution.execute(make_execute(version=version))
+        assert answer.reason == reason
+        assert bool(place.server.served) is not bool(reason)
+        place.server.stop()
+
+    run_async(check)
+
+
+def test_a_server_that_refuses_while_idle_keeps_its_limit() -> None:
+    """Guards against a faulty server whose refusals close all of its slots."""
+
+    async def check() -> None:
+        place = Place()
+        await place.start()
+        place.server.faults = [Fault.SHED] * 40
+        for _ in range(40):
+            await place.execution.execute(make_execute())
+            place.clock.advance(0.05)
+        load = place.execution.load()
+        assert load is not None and load.limit == 8
+        place.server.stop()
+
+    run_async(check)
+
+
+def test_refuses_what_cannot_be_answered_in_time() -> None:
+    """Guards against requests that wait in a queue until nobody needs them."""
+
+    async def check() -> None:
+        server = PlatformServerStandIn("i-1", work_s=0.3)
+        await server.start()
+        clock = SystemClock()
+        execution = make_execution(clock, make_tracker(clock))
+        execution.announce(make_announcement(server.address, slots=1))
+        calls = [
+            execution.execute(make_execute(b"r-%d" % i, deadline_s=0.4, patience_s=0.4))
+            for i in range(30)
+        ]
+        answers = await asyncio.gather(*calls)
+        refused = [one for one in answers if one.reason]
+        assert len(refused) == 29
+        assert {one.outcome for one in refused} == {Outcome.NOT_RUN}
+        assert server.ids() == ["r-0"]
+        server.stop()
+
+    run_async(check)
--- /dev/null
+++ b/tests/test_gateway_fleet.py
@@ -0,0 +1,285 @@
+"""Whole gateway nodes with the platform's stand-ins: requests, faults, changes."""
+
+import asyncio
+
+import pytest
+
+from builders_gateway import (
+    KEY,
+    RunningNode,
+    encode_configuration,
+    is_complete,
+    make_document,
+    make_organisation,
+    make_route,
+    read_response,
+    run_async,
+    run_fleet,
+    send_request,
+    wait_for,
+)
+from heathermount.gateway.messages import Execute
+from heathermount.standins.platform_server import Fault, ServedRequest
+
+ROUTES = [
+    make_route(),
+    make_route("order", "/order/", ("orders",), idempotent=False),
+    make_route("ledger", "/ledger/", ("orders",), public=True),
+]
+
+
+def test_serves_through_two_nodes() -> None:
+    """Guards against answers, keys and identities that get lost on the way."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry", "orders"), make_document(1, ROUTES)) as (
+            _,
+            nodes,
+        ):
+            status, headers, body = await nodes[0].request("/order/7", "r-7")
+            assert (status, body) == (200, b"i-1 /order/7")
+            assert headers["x-heathermount-response-stamp"] == "stamp-1"
+            assert headers["x-heathermount-request-id"] == "r-7"
+            (request,) = nodes[1].server.served
+            assert request.headers["x-heathermount-tenant"] == "anna"
+            assert request.headers["x-heathermount-caller-service"] == "pantry"
+            assert request.headers["host"] == "shop.example"
+            assert "x-heathermount-key" not in request.headers
+
+    run_async(check)
+
+
+@pytest.mark.parametrize(
+    ("target", "key", "status", "reason"),
+    [
+        ("/stock/1", "", 401, "key-missing"),
+        ("/stock/1", "wrong", 401, "key-unknown"),
+        ("/nowhere/1", KEY.decode(), 404, "route-unknown"),
+        ("/order/1", KEY.decode(), 503, "no-server"),
+    ],
+)
+def test_refusals_name_their_reason(
+    target: str, key: str, status: int, reason: str
+) -> None:
+    """Guards against a refusal without a reason or with a false promise."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry",), make_document(1, ROUTES)) as (_, nodes):
+            found, headers, _ = await nodes[0].request(target, key=key)
+            assert (found, headers["heathermount-reason"]) == (status, reason)
+            assert headers["heathermount-outcome"] == "not-run"
+            assert ("retry-after" in headers) is (status == 503)
+            assert not nodes[0].server.served
+
+    run_async(check)
+
+
+def test_system_headers_of_clients_are_dropped() -> None:
+    """Guards against clients that choose their organisation or caller service."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry",)) as (_, nodes):
+            forged = {
+                "X-Heathermount-Tenant": "bert",
+                "X-Heathermount-Caller-Service": "orders",
+                "X-Heathermount-Expected-Instance": "i-9",
+                "X-Other": "kept",
+            }
+            assert (await nodes[0].request(headers=forged))[0] == 200
+            headers = nodes[0].server.served[0].headers
+            assert headers["x-heathermount-tenant"] == "anna"
+            assert headers["x-heathermount-caller-service"] == "pantry"
+            assert headers["x-heathermount-expected-instance"] == "i-0"
+            assert headers["x-other"] == "kept"
+            twice = {"X-Heathermount-Key": "key-of-bert"}
+            assert (await nodes[0].request(headers=twice))[0] == 400
+
+    run_async(check)
+
+
+def test_a_withdrawn_key_stops_working() -> None:
+    """Guards against a withdrawn key that works on connections that are open."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry",)) as (store, nodes):
+            host, _, port = nodes[0].settings.listen.outbound.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            request = (
+                b"GET /stock/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                b"X-Heathermount-Request-Id: r\r\nX-Heathermount-Key: %b\r\n\r\n" % KEY
+            )
+            writer.write(request)
+            assert (await read_response(reader))[0] == 200
+            changed = make_document(2, organisations=[make_organisation(keys=["new"])])
+            store.operate("op/config", encode_configuration(changed))
+            async with asyncio.timeout(2.0):
+                while True:
+                    writer.write(request)
+                    if (await read_response(reader))[0] == 401:
+                        break
+            writer.close()
+
+    run_async(check)
+
+
+def test_a_node_without_the_store_refuses_keys_after_a_while() -> None:
+    """Guards against withdrawn keys that work where the store cannot be reached."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry",), revocation="1s") as (store, nodes):
+            assert (await nodes[0].request())[0] in (200, 503)
+            store.down = True
+            await asyncio.sleep(1.0)
+            status, headers, _ = await nodes[0].request()
+            assert (status, headers["heathermount-reason"]) == (
+                503,
+                "configuration-stale",
+            )
+            status, _, _ = await nodes[0].request("/nowhere/")
+            assert status == 503
+
+    run_async(check)
+
+
+def test_a_node_cut_off_the_store_learns_from_its_peers() -> None:
+    """Guards against refusals at a node whose peers reach the store."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry", "pantry"), revocation="2s") as (store, nodes):
+            await nodes[0].cut_from_store()
+            changed = make_document(2, organisations=[make_organisation(keys=["new"])])
+            store.operate("op/config", encode_configuration(changed))
+            async with asyncio.timeout(2.0):
+                while (await nodes[0].request(key="new"))[0] != 200:  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+            # Longer than a proof of the node's own would count.
+            await asyncio.sleep(2.0)
+            assert (await nodes[0].request(key="new"))[0] == 200
+            assert (await nodes[0].request())[0] == 401
+
+    run_async(check)
+
+
+def test_a_planned_stop_cuts_no_request() -> None:
+    """Guards against requests that a stopping node or its peers break off."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry", "pantry"), grace="3s") as (_, nodes):
+            for one in nodes:
+                one.server.work_s = 0.3
+            statuses: list[int] = []
+            stopped = asyncio.Event()
+
+            async def send(entry: RunningNode) -> None:
+                while not stopped.is_set():
+                    statuses.append((await entry.request())[0])
+
+            async with asyncio.TaskGroup() as clients:
+                for _ in range(4):
+                    clients.create_task(send(nodes[0]))
+                await asyncio.sleep(0.5)
+                task = nodes[1].task
+                assert task is not None
+                nodes[1].node.stop()
+                assert nodes[1].node.unready_reasons() == ["stopping"]
+                direct = [
+                    asyncio.create_task(nodes[1].request("/stock/2")) for _ in range(4)
+                ]
+                await asyncio.wait([task])
+                stopped.set()
+            statuses += [(await one)[0] for one in direct]
+            assert set(statuses) == {200}
+
+    run_async(check)
+
+
+def test_nodes_are_back_after_the_store_was_away() -> None:
+    """Guards against entries that lapsed with the store and stay away."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry", "orders"), make_document(1, ROUTES)) as (
+            store,
+            nodes,
+        ):
+            store.down = True
+            store.lapse_leases()
+            await asyncio.sleep(0.5)
+            assert (await nodes[0].request("/order/1"))[0] == 200
+            store.down = False
+            await wait_for(
+                lambda: {"nodes/n-0", "nodes/n-1"} <= store.items.keys(), 2.0
+            )
+            assert all(is_complete(one, nodes) for one in nodes)
+
+    run_async(check)
+
+
+@pytest.mark.parametrize(
+    ("fault", "target", "status", "runs"),
+    [
+        # An idempotent request without calls is run again elsewhere.
+        (Fault.ERROR, "/stock/1", 200, 2),
+        (Fault.LOST, "/stock/1", 200, 2),
+        (Fault.SHED, "/stock/1", 200, 1),
+        # An order runs at most once, unless it has certainly not run.
+        (Fault.LOST, "/order/1", 502, 1),
+        (Fault.SHED, "/order/1", 200, 1),
+    ],
+)
+def test_repeats_only_what_may_run_again(
+    fault: Fault, target: str, status: int, runs: int
+) -> None:
+    """Guards against an order that runs twice."""
+
+    async def check() -> None:
+        services = ("pantry", "orders", "pantry", "orders")
+        async with run_fleet(services, make_document(1, ROUTES)) as (_, nodes):
+            # A first answer shows that the route makes no calls.
+            assert (await nodes[0].request(target, "r-0"))[0] == 200
+            for one in nodes:
+                one.server.served.clear()
+                one.server.faults = [fault]
+            nodes[2].server.faults = nodes[3].server.faults = []
+            if target == "/order/1":
+                nodes[3].server.faults = [] if fault is Fault.SHED else [fault]
+            found = [await nodes[0].request(target, f"r-{i}") for i in range(1, 5)]
+            assert status in {one[0] for one in found}
+            served = [i for one in nodes for i in one.server.ids()]
+            most = max(served.count(f"r-{i}") for i in range(1, 5))
+            assert most <= runs
+
+    run_async(check)
+
+
+def test_a_call_belongs_to_the_request_that_made_it() -> None:
+    """Guards against calls that are shed while their request goes on in vain."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry", "orders"), make_document(1, ROUTES)) as (
+            _,
+            nodes,
+        ):
+            seen: list[Execute] = []
+
+            async def note_message(request: ServedRequest) -> int:
+                contexts = nodes[1].node.execution.contexts
+                seen.append(contexts[request.request_id.encode()].message)
+                return 200
+
+            async def make_call(request: ServedRequest) -> int:
+                found = await send_request(
+                    nodes[0].settings.listen.outbound,
+                    "GET",
+                    "/ledger/1",
+                    request_id=f"{request.request_id}.c-1",
+                    key="",
+                )
+                return found[0]
+
+            nodes[0].server.work = make_call
+            nodes[1].server.work = note_message
+            assert (await nodes[0].request())[0] == 200
+            (message,) = seen
+            assert (message.account, message.organisation) == ("anna", "")
+
+    run_async(check)
--- /dev/null
+++ b/tests/test_gateway_limits.py
@@ -0,0 +1,153 @@
+"""Quota shares and the budget of repeats over all gateway nodes."""
+
+import asyncio
+from collections import deque
+
+import pytest
+from hypothesis import given, strategies as st
+
+from builders_gateway import make_organisation, run_async
+from heathermount.clocks import ManualClock
+from heathermount.errors import PeerUnreachable, Refusal
+from heathermount.gateway.budget import RepeatBudget, RepeatLimits
+from heathermount.gateway.document import OrganisationEntry
+from heathermount.gateway.messages import TokenGrant, TokenRequest
+from heathermount.gateway.quota import QuotaShares, choose_holders
+
+
+class QuotaFleet:
+    """Nodes that lend tokens to each other, with some cut off."""
+
+    def __init__(
+        self, clock: ManualClock, organisation: OrganisationEntry, count: int
+    ) -> None:
+        self.clock = clock
+        self.organisation = organisation
+        self.cut: set[str] = set()
+        self.names = [f"n-{i}" for i in range(count)]
+        self.shares = {name: self.make(name, full=True) for name in self.names}
+        # Times at which tokens were spent.
+        self.spent: list[float] = []
+
+    def make(self, name: str, full: bool) -> QuotaShares:
+        async def ask(holder: str, request: TokenRequest) -> TokenGrant:
+            if {name, holder} & self.cut:
+                raise PeerUnreachable(f"{holder} is cut off")
+            return self.shares[holder].lend(self.organisation, request.amount)
+
+        shares = QuotaShares(name, self.clock, ask, full)
+        shares.update_nodes(self.names)
+        return shares
+
+    async def request(self, name: str) -> bool:
+        try:
+            await self.shares[name].acquire(self.organisation)
+        except Refusal as refusal:
+            assert refusal.status == 429 and refusal.retry_after_s is not None
+            return False
+        self.spent.append(self.clock.monotonic())
+        return True
+
+
+def count_most(times: list[float], window_s: float) -> int:
+    """Return the largest number of events in any window."""
+    recent: deque[float] = deque()
+    most = 0
+    for time in times:
+        recent.append(time)
+        while recent[0] <= time - window_s:
+            recent.popleft()
+        most = max(most, len(recent))
+    return most
+
+
+@given(
+    rate=st.sampled_from([3.0, 20.0, 90.0]),
+    steps=st.lists(
+        st.tuples(st.integers(0, 7), st.sampled_from(["ask", "cut", "restart"])),
+        min_size=50,
+        max_size=300,
+    ),
+)
+def test_never_exceeds_the_quota(rate: float, steps: list[tuple[int, str]]) -> None:
+    """Guards against a limit that uneven, cut off or restarted nodes exceed."""
+
+    async def check() -> None:
+        clock = ManualClock()
+        organisation = make_organisation(rate=rate, burst=rate)
+        fleet = QuotaFleet(clock, organisation, 8)
+        for node, step in steps:
+            name = fleet.names[node]
+            if step == "cut":
+                fleet.cut ^= {name}
+            elif step == "restart":
+                fleet.shares[name] = fleet.make(name, full=False)
+            for _ in range(int(rate / 4)):
+                await fleet.request(name)
+            clock.advance(0.05)
+        # A share of less than one token is rounded up at each holder.
+        bound = rate * 5.0 + rate + len(fleet.names)
+        assert count_most(fleet.spent, 5.0) <= bound
+
+    asyncio.run(check())
+
+
+@pytest.mark.parametrize("rate", [2.0, 30.0, 200.0])
+def test_serves_uneven_demand_below_the_quota(rate: float) -> None:
+    """Guards against refusals below the limit when one node gets all requests."""
+
+    async def check() -> None:
+        clock = ManualClock()
+        fleet = QuotaFleet(clock, make_organisation(rate=rate, burst=rate), 14)
+        served = 0
+        for _ in range(200):
+            served += await fleet.request("n-3")
+            clock.advance(1.25 / rate)
+        assert served >= 190
+
+    run_async(check)
+
+
+def test_all_nodes_choose_the_same_holders() -> None:
+    """Guards against shares that are held twice."""
+    nodes = [f"n-{i}" for i in range(20)]
+    small, large = make_organisation(rate=10.0), make_organisation(rate=500.0)
+    assert choose_holders(small, nodes) == choose_holders(small, nodes[::-1])
+    assert len(choose_holders(small, nodes)) == 3
+    assert choose_holders(large, nodes) == sorted(nodes)
+
+
+@given(
+    counts=st.lists(
+        st.tuples(st.integers(0, 30), st.integers(0, 30)), min_size=10, max_size=60
+    ),
+    nodes=st.integers(1, 14),
+)
+def test_repeats_stay_below_the_fleets_budget(
+    counts: list[tuple[int, int]], nodes: int
+) -> None:
+    """Guards against retries that multiply an overload, in any window."""
+    clock = ManualClock()
+    limits = RepeatLimits(0.2, 10.0, 48.0)
+    budget = RepeatBudget(limits, clock)
+    budget.nodes = nodes
+    sent: list[float] = []
+    repeated: list[float] = []
+    for requests, wishes in counts:
+        for _ in range(requests):
+            budget.sent("pantry")
+            sent.append(clock.monotonic())
+        repeated += [clock.monotonic() for _ in range(wishes) if budget.take("pantry")]
+        clock.advance(0.7)
+    for end in repeated:
+        requests = sum(end - 20.0 < time <= end for time in sent)
+        repeats = sum(end - 10.0 < time <= end for time in repeated)
+        assert repeats <= 0.2 * requests + 48.0 / nodes
+
+
+def test_calls_leave_a_part_of_the_budget() -> None:
+    """Guards against chains of calls that use up the repeats of clients' requests."""
+    budget = RepeatBudget(RepeatLimits(0.0, 10.0, 40.0), ManualClock())
+    calls = sum(budget.take("dropoff", 0.5) for _ in range(100))
+    requests = sum(budget.take("dropoff") for _ in range(100))
+    assert calls == 16 and requests == 16
--- /dev/null
+++ b/tests/test_gateway_links.py
@@ -0,0 +1,197 @@
+"""Links between gateway nodes: answers, cancellation, silence and retirement."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from builders_gateway import make_execute, run_async, wait_for
+from heathermount.clocks import SystemClock
+from heathermount.errors import PeerLost, PeerTimeout, PeerUnreachable
+from heathermount.framing import HEADER
+from heathermount.gateway.links import Link, LinkTable, PeerConnection
+from heathermount.gateway.messages import Answer, Execute, Message, Ping, Pong
+
+
+def make_table() -> LinkTable:
+    return LinkTable(SystemClock(), lambda: Ping("n-1", 0, 0.0), lambda *_: None)
+
+
+async def answer_pings(message: Message) -> Message:
+    assert isinstance(message, Ping)
+    return Pong(0, 0.0, None, True)
+
+
+@asynccontextmanager
+async def serve_peer(
+    handler: Callable[[Message], Awaitable[Message]],
+) -> AsyncIterator[tuple[LinkTable, Link, set[PeerConnection]]]:
+    """Serve a peer and yield a connected link to it."""
+    connections: set[PeerConnection] = set()
+    server = await asyncio.get_running_loop().create_server(
+        lambda: PeerConnection(handler, connections), "127.0.0.1", 0
+    )
+    host, port = server.sockets[0].getsockname()
+    table = make_table()
+    link = table.get(f"{host}:{port}")
+    await asyncio.wait_for(link.connected.wait(), 5.0)
+    try:
+        yield table, link, connections
+    finally:
+        table.close()
+        server.close()
+
+
+class SlowPeer:
+    """Answers executions when it is told to, and notes cancelled ones."""
+
+    def __init__(self) -> None:
+        self.started = 0
+        self.cancelled = 0
+        self.go = asyncio.Event()
+
+    async def handle(self, message: Message) -> Message:
+        if isinstance(message, Ping):
+            return Pong(0, 0.0, None, True)
+        assert isinstance(message, Execute)
+        self.started += 1
+        try:
+            await self.go.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return Answer(200, [], message.target, "ran")
+
+
+def test_answers_many_calls_out_of_order() -> None:
+    """Guards against an answer that reaches the wrong call."""
+
+    async def echo(message: Message) -> Message:
+        if isinstance(message, Ping):
+            return Pong(0, 0.0, None, True)
+        assert isinstance(message, Execute)
+        await asyncio.sleep(0.02 if message.target.endswith(b"0") else 0.0)
+        return Answer(200, [], message.target, "ran")
+
+    async def check() -> None:
+        async with serve_peer(echo) as (_, link, _):
+            targets = [b"/%d" % i for i in range(50)]
+            answers = await asyncio.gather(
+                *(link.call(make_execute(target=one), 5.0) for one in targets)
+            )
+            assert [one.body for one in answers if isinstance(one, Answer)] == targets
+
+    run_async(check)
+
+
+def test_cancels_the_call_at_the_peer() -> None:
+    """Guards against work for a caller that no longer waits."""
+
+    async def check() -> None:
+        peer = SlowPeer()
+        async with serve_peer(peer.handle) as (_, link, _):
+            with pytest.raises(PeerTimeout):
+                await link.call(make_execute(), 0.05)
+            await wait_for(lambda: peer.cancelled == 1)
+
+    run_async(check)
+
+
+def test_a_retired_link_answers_its_calls() -> None:
+    """Guards against calls that are cut when their peer leaves the registry."""
+
+    async def check() -> None:
+        peer = SlowPeer()
+        async with serve_peer(peer.handle) as (table, link, connections):
+            call = asyncio.create_task(link.call(make_execute(), 5.0))
+            await wait_for(lambda: peer.started == 1)
+            table.retain(set())
+            await asyncio.sleep(0.05)
+            peer.go.set()
+            assert isinstance(await call, Answer)
+            await wait_for(lambda: not connections)
+
+    run_async(check)
+
+
+def test_a_lost_connection_fails_its_calls_and_comes_back() -> None:
+    """Guards against calls that wait for a peer that has crashed."""
+
+    async def check() -> None:
+        peer = SlowPeer()
+        async with serve_peer(peer.handle) as (_, link, connections):
+            call = asyncio.create_task(link.call(make_execute(), 5.0))
+            await wait_for(lambda: peer.started == 1)
+            for connection in list(connections):
+                connection.close()
+            with pytest.raises(PeerLost):
+                await call
+            await wait_for(lambda: link.usable)
+            peer.go.set()
+            assert isinstance(await link.call(make_execute(), 5.0), Answer)
+
+    run_async(check)
+
+
+def test_a_silent_connection_is_given_up() -> None:
+    """Guards against a connection that stays open but carries nothing any more."""
+
+    async def check() -> None:
+        silent = asyncio.Event()
+
+        async def handle(message: Message) -> Message:
+            if silent.is_set():
+                await asyncio.Event().wait()
+            return await answer_pings(message)
+
+        async with serve_peer(handle) as (_, link, connections):
+            await wait_for(lambda: link.usable)
+            (first,) = connections
+            silent.set()
+            await wait_for(lambda: not link.usable, 5.0)
+            await wait_for(lambda: first not in connections, 5.0)
+            silent.clear()
+            await wait_for(lambda: link.usable, 5.0)
+
+    run_async(check)
+
+
+def test_nothing_is_sent_without_a_connection() -> None:
+    """Guards against a call that counts as sent although it never was."""
+
+    async def check() -> None:
+        table = make_table()
+        link = table.get("127.0.0.1:1")
+        with pytest.raises(PeerUnreachable) as caught:
+            await link.call(make_execute(), 1.0)
+        assert not caught.value.sent
+        table.close()
+
+    run_async(check)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        HEADER.pack(2**31, 1, 0),
+        HEADER.pack(3, 1, 0) + b"\xc1\xc1\xc1",
+        HEADER.pack(5000, 1, 0) + b"\x91" * 5000,
+        HEADER.pack(1, 1, 9) + b"\x00",
+    ],
+    ids=["long", "no msgpack", "nested", "no message"],
+)
+def test_malformed_frames_end_only_their_connection(data: bytes) -> None:
+    """Guards against a peer's bad bytes that end the process."""
+
+    async def check() -> None:
+        async with serve_peer(answer_pings) as (_, link, _):
+            host, _, port = link.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            assert await reader.read() == b""
+            writer.close()
+            answer = await link.call(Ping("n-2", 0, 0.0), 5.0)
+            assert isinstance(answer, Pong)
+
+    run_async(check)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,272 @@
+"""The adapter decodes the platform's messages, and survives all other bytes."""
+
+import asyncio
+import json
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+
+from builders_gateway import (
+    encode_configuration,
+    make_document,
+    make_execution,
+    make_organisation,
+    make_route,
+    make_tracker,
+    run_async,
+    serve_platform,
+)
+from heathermount.clocks import SystemClock
+from heathermount.config.durations import parse_duration
+from heathermount.errors import (
+    InvalidMessage,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from heathermount.gateway.document import GatewayPolicy
+from heathermount.gateway.http import HttpRequest
+from heathermount.platform.dialect import PlatformDialect
+from heathermount.platform.heartbeats import HeartbeatListener, decode_heartbeat
+from heathermount.platform.operator import decode_configuration
+from heathermount.platform.store import PlatformStore
+from heathermount.standins.platform_store import PlatformStoreStandIn
+from heathermount.store.interface import HistoryLost
+from heathermount.values import Importance, Load
+
+HEARTBEAT: dict[str, Any] = {
+    "Service": "pantry",
+    "Address": "10.0.0.1:80",
+    "Zone": "a",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "ColdRemaining": "1500ms",
+    "Sequence": 4,
+    "born": 1700000000000,
+}
+
+
+def test_reads_the_operators_configuration() -> None:
+    """Guards against a field that is read under another meaning."""
+    document = make_document(
+        7,
+        [make_route(services=("pantry", "orders"), idempotent=False, timeout_s=1.2)],
+        [make_organisation(rate=88.0, burst=44.0, priority=0)],
+    )
+    decoded = decode_configuration(encode_configuration(document))
+    assert decoded.version == 7
+    assert decoded.routes == document.routes
+    assert decoded.organisations == document.organisations
+    assert decoded.limits.idle_timeout_s == 15.0
+
+
+def test_ranks_requests_by_organisation_then_route() -> None:
+    """Guards against an important organisation that waits behind the others."""
+    names = ["anna", "bert", "carl"]
+    organisations = [make_organisation(name) for name in names]
+    urgent = make_organisation("dora", priority=0)
+    late = make_organisation("emil", priority=2)
+    policy = GatewayPolicy(
+        make_document(1, organisations=[*organisations, urgent, late])
+    )
+    route = make_route(priority=1)
+    assert policy.rank(route, organisations[0]) is Importance.NORMAL
+    assert policy.rank(route, urgent) is Importance.CRITICAL
+    assert policy.rank(route, late) is Importance.BACKGROUND
+    assert policy.rank(make_route(priority=9), None) is Importance.BACKGROUND
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/stock/1", "stock"),
+        ("/stock/", "stock"),
+        ("/stock/rare/2", "rare"),
+        ("/stock", None),
+        ("/other/1", None),
+    ],
+)
+def test_matches_the_longest_prefix(path: str, name: str | None) -> None:
+    """Guards against a request that runs at the service of another route."""
+    routes = [make_route(), make_route("rare", "/stock/rare/", ("orders",))]
+    route = GatewayPolicy(make_document(routes=routes)).match("shop.example", path)
+    assert (route.name if route else None) == name
+
+
+@given(st.binary(max_size=300))
+def test_bytes_that_are_no_configuration_are_an_error(data: bytes) -> None:
+    """Guards against bad bytes in the store that end the process."""
+    with pytest.raises(InvalidMessage):
+        decode_configuration(data)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=10),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@given(st.sampled_from(sorted(HEARTBEAT)), JSON_VALUES)
+def test_heartbeats_with_wrong_fields_are_refused(field: str, value: object) -> None:
+    """Guards against a heartbeat of another writer that ends the process."""
+    data = json.dumps(HEARTBEAT | {field: value}).encode()
+    try:
+        announcement = decode_heartbeat("i-1", data)
+    except (msgspec.MsgspecError, ValueError):
+        return
+    assert announcement.slots >= 1
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "body", "status"),
+    [
+        (b"PUT", b"/heathermount/instances/i-1", json.dumps(HEARTBEAT).encode(), 200),
+        (b"PUT", b"/heathermount/instances/i-1", b"\xff", 400),
+        (b"PUT", b"/heathermount/instances/i-1", b"[" * 10000, 400),
+        (
+            b"PUT",
+            b"/heathermount/instances/i-1",
+            json.dumps(HEARTBEAT | {"Service": "orders"}).encode(),
+            400,
+        ),
+        (b"DELETE", b"/heathermount/instances/i-9", b"", 200),
+        (b"POST", b"/heathermount/instances/i-1", b"", 405),
+        (b"PUT", b"/elsewhere", b"", 404),
+    ],
+)
+def test_answers_heartbeats(
+    method: bytes, target: bytes, body: bytes, status: int
+) -> None:
+    """Guards against an acknowledgement of what was not understood."""
+
+    async def check() -> None:
+        clock = SystemClock()
+        execution = make_execution(clock, make_tracker(clock))
+        listener = HeartbeatListener(execution, "pantry")
+        response = await listener.handle(HttpRequest(method, target, [], body, 0.0))
+        assert response.status == status
+        known = execution.announcement
+        assert (known is not None) is (status == 200 and method == b"PUT")
+        if known is not None:
+            assert (known.slots, known.cold_start_s, known.sequence) == (8, 1.5, 4)
+
+    run_async(check)
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", Load(3, 0, 8)),
+        (b"3,0", None),
+        (b"a,b,c", None),
+        (b"", None),
+        (b"-1,0,8", None),
+    ],
+)
+def test_reads_the_load_header(value: bytes, load: Load | None) -> None:
+    """Guards against a misleading header that ends a request."""
+    assert PlatformDialect().read_load(value) == load
+
+
+@pytest.mark.parametrize("text", ["1500", "ms", "1.5h", "-1s", "1e3ms", "٣s"])
+def test_refuses_other_durations(text: str) -> None:
+    """Guards against a time that is read in another unit."""
+    with pytest.raises(ValueError, match="duration"):
+        parse_duration(text)
+
+
+def test_store_watches_and_leases() -> None:
+    """Guards against changes that a watch misses, and leases that do not end."""
+
+    async def check() -> None:
+        async with serve_platform(None) as store:
+            _, revision = await store.read_prefix("nodes/")
+            lease = await store.grant_lease(5.0)
+            assert await store.commit({}, {"nodes/a": b"1"}, lease)
+            changes = await store.watch("nodes/", revision, 5.0)
+            assert [(one.key, one.value) for one in changes.events] == [
+                ("nodes/a", b"1")
+            ]
+            assert not (await store.watch("nodes/", changes.revision, 0.05)).events
+            assert await store.renew_lease(lease)
+            await store.end_lease(lease)
+            changes = await store.watch("nodes/", changes.revision, 5.0)
+            assert [(one.key, one.value) for one in changes.events] == [
+                ("nodes/a", None)
+            ]
+            assert not await store.renew_lease(lease)
+            assert not await store.commit({}, {"nodes/b": b"1"}, lease)
+
+    run_async(check)
+
+
+def test_store_failures_are_told_apart() -> None:
+    """Guards against a write that may be done and counts as not done."""
+
+    async def check() -> None:
+        standin = PlatformStoreStandIn()
+        await standin.start()
+        store = PlatformStore.from_config(standin.address, 0.2)
+        for fault in ("down", "limited"):
+            setattr(standin, fault, True)
+            with pytest.raises(StoreUnavailable):
+                await store.commit({}, {"a": b"1"})
+            setattr(standin, fault, False)
+        standin.lose_answers = True
+        with pytest.raises(StoreOutcomeUnknown):
+            await store.commit({}, {"b": b"1"})
+        standin.lose_answers = False
+        assert await store.get("a") is None
+        assert await store.get("b") is not None
+        standin.silent = True
+        with pytest.raises(StoreUnavailable):
+            await store.get("a")
+        with pytest.raises(StoreOutcomeUnknown):
+            await store.grant_lease(5.0)
+        standin.silent = False
+        with pytest.raises(StoreUnavailable):
+            await store.commit({}, {"op/config": b"1"})
+        await standin.stop()
+
+    run_async(check)
+
+
+def test_store_tells_that_its_history_is_gone() -> None:
+    """Guards against a watch that skips the changes of a dropped history."""
+
+    async def check() -> None:
+        standin = PlatformStoreStandIn()
+        await standin.start()
+        store = PlatformStore.from_config(standin.address, 1.0)
+        revision = standin.revision
+        standin.operate("op/config", b"1")
+        watching = asyncio.create_task(store.watch("nodes/", revision, 5.0))
+        await asyncio.sleep(0.02)
+        standin.compact()
+        with pytest.raises(HistoryLost):
+            await watching
+        await standin.stop()
+
+    run_async(check)
+
+
+def test_store_reads_all_pages() -> None:
+    """Guards against entries behind the first page that nobody sees."""
+
+    async def check() -> None:
+        standin = PlatformStoreStandIn()
+        await standin.start()
+        for i in range(1100):
+            standin.operate(f"nodes/{i:05}", b"1")
+        store = PlatformStore.from_config(standin.address, 2.0)
+        items, _ = await store.read_prefix("nodes/")
+        assert len(items) == 1100
+        await standin.stop()
+
+    run_async(check)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -8,15 +8,19 @@
 import pytest
 
 from builders_config import run, serve_gateway, use_fake
+from builders_gateway import serve_platform
 from heathermount.clocks import ManualClock, SystemClock
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
 from heathermount.standins.store import FakeStore, StoreFaults, StoreState
 from heathermount.store import EtcdStore, Versioned
 
 CLIENTS = pytest.mark.parametrize("connect", [use_fake, serve_gateway])
+ALL_CLIENTS = pytest.mark.parametrize(
+    "connect", [use_fake, serve_gateway, serve_platform]
+)
 
 
-@CLIENTS
+@ALL_CLIENTS
 def test_commit_compares_every_key(connect) -> None:
     """Guards against a lost update when two writers race."""
 
