Quarantine crashing requests, relay freshness, reload changed settings

Cause: a request that crashes servers was sent on without limit; every node proved its configuration by itself, which would exceed the store's read rate at the two-year size; a settings file that changes without a signal went unseen; a server that fell silent kept getting requests until its deadlines. Change: suspicions travel with pings and block after two crashes; one reader per failure domain reads each second and pings pass its proof on; watches only bring changes early; the settings file is polled; a server without a sign of life for 3.5 s gets no requests; refusals over quota name organisation and limits.

--- a/src/heathermount/gateway/entry.py
+++ b/src/heathermount/gateway/entry.py
@@ -32,6 +32,7 @@
 from heathermount.gateway.refusals import make_refusal, refusal_of, response_of
 from heathermount.routing.balancer import Balancer, NoServer
 from heathermount.routing.members import Member
+from heathermount.routing.resends import fingerprint
 from heathermount.values import COHORTS, Outcome, Reason
 
 __all__ = ["Entry"]
@@ -258,6 +259,12 @@
             patience_s=0.0,
             idempotent=route.idempotent,
             version=policy.version,
+            fingerprint=fingerprint(
+                account,
+                request.method.decode(),
+                request.target.decode("latin-1"),
+                request.body,
+            ),
         )
         return Call(route, organisation, message, deadline, parent)
 
@@ -306,7 +313,7 @@
         self._reject_early(call)
         if call.organisation is None:
             return await self._dispatch(call)
-        await self._quota.acquire(call.organisation)
+        await self._acquire_token(call, call.organisation)
         try:
             return await self._dispatch(call)
         except Refusal as refusal:
@@ -314,6 +321,21 @@
                 self._quota.give_back(call.organisation)
             raise
 
+    async def _acquire_token(self, call: Call, organisation: OrganisationEntry) -> None:
+        try:
+            await self._quota.acquire(organisation)
+        except Refusal as refusal:
+            self._log.record(
+                "over-rate",
+                request=call.message.request_id.decode("latin-1"),
+                organisation=organisation.name,
+                rate=organisation.rate,
+                burst=organisation.burst,
+                holders=self._quota.count_holders(organisation.name),
+                wait_s=refusal.retry_after_s or 0.0,
+            )
+            raise
+
     def _reject_early(self, call: Call) -> None:
         """Refuse a request that would be shed at a service on its way.
 
--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -34,6 +34,7 @@
     ServerUnreachable,
 )
 from heathermount.invariants import Invariants
+from heathermount.routing.quarantine import Quarantine
 from heathermount.values import Load, Outcome, Reason, ServiceThreshold
 
 __all__ = ["Announcement", "Execution", "RunContext"]
@@ -46,6 +47,10 @@
 # callers that the node does not know.
 SPARE_CONNECTIONS: Final = 8
 
+# A server that neither answers nor sends a heartbeat for this long gets no
+# requests, in seconds: two heartbeats are lost, or one is late.
+SILENT_S: Final = 3.5
+
 # Share of its slots from which a server may be overloaded.
 NEARLY_FULL: Final = 0.8
 
@@ -103,6 +108,7 @@
         "_drain_s",
         "_events",
         "_invariants",
+        "_last_sign_at",
         "_left_at",
         "_log",
         "_pool",
@@ -110,6 +116,7 @@
         "_service",
         "_settings",
         "_tracker",
+        "_quarantine",
         "_updated",
         "active",
         "admission",
@@ -130,6 +137,7 @@
         log: DecisionLog,
         settings: PolicySettings,
         drain_s: float,
+        quarantine: Quarantine,
         updated: Callable[[], None],
     ) -> None:
         self._service = service
@@ -143,7 +151,10 @@
         self._settings = settings
         # Time after which a leaving server must get no more requests, in seconds.
         self._drain_s = drain_s
+        self._quarantine = quarantine
         self._updated = updated
+        # When the backend server last answered or sent a heartbeat.
+        self._last_sign_at = clock.monotonic()
         self._left_at = 0.0
         self._pool: ServerPool | None = None
         self.admission: AdmissionController | None = None
@@ -159,12 +170,18 @@
     def serving(self) -> bool:
         return self.announcement is not None and not self.leaving
 
+    @property
+    def silent(self) -> bool:
+        """Whether the backend server has given no sign of life for a while."""
+        return self._clock.monotonic() - self._last_sign_at > SILENT_S
+
     def announce(self, announcement: Announcement) -> None:
         """Take what the backend server says of itself; older news is ignored."""
         known = self.announcement
         if known is not None and not announcement.follows(known):
             return
         self.announcement = announcement
+        self._last_sign_at = self._clock.monotonic()
         if known is None or not same_start(known, announcement):
             self._start(announcement)
         elif announcement.draining:
@@ -253,7 +270,7 @@
         if self.leaving:
             raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
         admission = self.admission
-        if admission is None or message.service != self._service:
+        if admission is None or message.service != self._service or self.silent:
             raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
         patience = self._clock.monotonic() + message.patience_s
         ticket = Ticket(
@@ -285,6 +302,8 @@
             left_s = self._clock.monotonic() - self._left_at
             if left_s > self._drain_s / 2:
                 raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
+        if self._quarantine.blocked(message.fingerprint):
+            raise make_refusal(Reason.QUARANTINED, Outcome.NOT_RUN)
         if not message.key_digest:
             return
         tracker = self._tracker
@@ -317,9 +336,24 @@
             refusal = make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
             return answer_of(refusal), RunResult.FAILED
         except ServerBroke as error:
+            if not error.answering and not await pool.probe():
+                self._suspect(message, announcement)
             return self._broken(message, error)
+        self._last_sign_at = self._clock.monotonic()
+        self._quarantine.completed(message.fingerprint)
         return self._judge(message, answer)
 
+    def _suspect(self, message: Execute, announcement: Announcement) -> None:
+        """Note that the backend server crashed while it ran a request."""
+        server = f"{announcement.server_id}/{announcement.born_ms}"
+        suspicions = self._quarantine.suspect(message.fingerprint, server)
+        self._log.record(
+            "crash-suspected",
+            request=message.request_id.decode("latin-1"),
+            server=server,
+            suspicions=suspicions,
+        )
+
     def _broken(self, message: Execute, error: ServerBroke) -> tuple[Answer, RunResult]:
         self._log.record(
             "answer-broken",
--- a/src/heathermount/gateway/messages.py
+++ b/src/heathermount/gateway/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from heathermount.values import Load, ServiceThreshold
+from heathermount.wire.messages import Suspicion
 
 __all__ = [
     "MESSAGE_DECODER",
@@ -44,6 +45,8 @@
     patience_s: float
     idempotent: bool
     version: int
+    # What equal requests of one organisation have in common.
+    fingerprint: bytes
 
 
 class Answer(msgspec.Struct, tag=2, array_like=True):
@@ -74,6 +77,7 @@
     version: int
     # Age of the sender's last proof that its version is the newest, in seconds.
     age_s: float
+    suspicions: list[Suspicion] = []
 
 
 class Pong(msgspec.Struct, tag=4, array_like=True):
@@ -84,6 +88,7 @@
     load: Load | None
     serving: bool
     configuration: bytes = b""
+    suspicions: list[Suspicion] = []
 
 
 class TokenRequest(msgspec.Struct, tag=5, array_like=True):
@@ -94,10 +99,11 @@
 
 
 class TokenGrant(msgspec.Struct, tag=6, array_like=True):
-    """Tokens granted, and the wait until one more, in seconds."""
+    """Tokens granted, the wait until one more, in seconds, and what is left."""
 
     amount: int
     retry_after_s: float
+    level: float = 0.0
 
 
 Message = Execute | Answer | Ping | Pong | TokenRequest | TokenGrant
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from random import Random
 from typing import Any, Final, Protocol, Self
 
@@ -43,13 +44,24 @@
 from heathermount.invariants import Invariants
 from heathermount.routing.balancer import Balancer
 from heathermount.routing.members import Member
+from heathermount.routing.quarantine import Quarantine
 from heathermount.store.interface import HistoryLost, WatchedStore
 
 __all__ = ["ConfigurationReader", "GatewayNode"]
 
-# Wait of one watch of the configuration, in seconds. Each return proves that the
-# configuration was current when the watch was sent.
-WATCH_S: Final = 1.2
+# Longest wait of a watch of the configuration, in seconds. It only brings changes
+# early: proofs that nothing changed come from reads, which no dropped history
+# can mislead.
+WATCH_S: Final = 20.0
+
+# Period of the reads of a node that reads for the others, in seconds, and the
+# share of the freshness bound at whose age any node reads for itself. Peers pass
+# proofs on with every ping.
+READ_S: Final = 1.0
+OWN_READ_SHARE: Final = 0.65
+
+# Nodes of each failure domain that read for the others.
+READERS_PER_DOMAIN: Final = 1
 
 # Share of the revocation bound for which a proof counts. The rest covers the
 # delivery of a request and what the store's watches may miss for a second.
@@ -67,6 +79,9 @@
 # Pause between looks whether anything still runs, in seconds.
 POLL_S: Final = 0.05
 
+# Period at which the settings file is compared with what was read, in seconds.
+SETTINGS_POLL_S: Final = 2.0
+
 BACKLOG: Final = 1024
 
 TOKEN_TIMEOUT_S: Final = 0.25
@@ -76,7 +91,11 @@
     """Reads the operators' configuration from the store."""
 
     async def read(self) -> tuple[GatewayDocument | None, int]:
-        """Return the newest valid configuration and the store's revision."""
+        """Return the newest configuration and the store's revision.
+
+        The configuration is None when it is invalid, missing or unchanged
+        since the last call.
+        """
 
     async def wait(self, after: int, wait_s: float) -> tuple[bool, int]:
         """Wait for a change; return whether there was one, and the revision.
@@ -98,6 +117,7 @@
         "_links",
         "_observers",
         "_peers",
+        "_quarantine",
         "_quota",
         "_reader",
         "_servers",
@@ -131,6 +151,7 @@
         self._balancer = Balancer(clock, random, node.failure_domain)
         self._budget = RepeatBudget(settings.repeat_limits, clock)
         self._links = LinkTable(clock, self._make_ping, self._pinged)
+        self._quarantine = Quarantine(clock)
         self._thresholds = ThresholdTable.from_config(settings.policy, clock)
         self._quota = QuotaShares(node.name, clock, self._ask_tokens, node.first_start)
         self.execution = Execution(
@@ -144,6 +165,7 @@
             log,
             settings.policy,
             parse_duration(settings.bounds.drain),
+            self._quarantine,
             self._server_changed,
         )
         self._entry = Entry(
@@ -199,8 +221,17 @@
         """Begin a graceful stop."""
         self._stopping.set()
 
-    def reload(self, settings: GatewaySettings) -> None:
-        """Take over the bounds of new settings; the rest needs a new start."""
+    def reload(self, path: str) -> None:
+        """Take over the bounds of changed settings; the rest needs a new start.
+
+        An invalid file changes nothing.
+        """
+        try:
+            settings = GatewaySettings.from_file(path)
+        except ExceptionGroup as problems:
+            for problem in problems.exceptions:
+                logging.error('event=settings-invalid error="%s"', problem)
+            return
         logging.info("event=settings-reloaded")
         self._settings.bounds = settings.bounds
         self._tracker.freshness_s = FRESHNESS_SHARE * parse_duration(
@@ -218,6 +249,17 @@
         for peer in list(self._peers):
             peer.close()
 
+    async def watch_settings(self, path: str) -> None:
+        """Take over changes of the settings file that come without a signal."""
+        known = read_settings_bytes(path)
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_S)
+            found = read_settings_bytes(path)
+            if found == known:
+                continue
+            known = found
+            self.reload(path)
+
     async def run(self, control: Handler) -> None:
         """Serve until `stop`, then finish what runs; `control` takes heartbeats."""
         logging.info(
@@ -231,7 +273,8 @@
             for loop in (
                 self.registry.maintain,
                 self.registry.follow,
-                self._follow_configuration,
+                self._watch_configuration,
+                self._prove_configuration,
             )
         ]
         await self._stopping.wait()
@@ -301,20 +344,28 @@
 
     def _make_ping(self) -> Ping:
         tracker = self._tracker
-        return Ping(self._settings.node.name, tracker.version, tracker.age_s())
+        return Ping(
+            self._settings.node.name,
+            tracker.version,
+            tracker.age_s(),
+            self._quarantine.recent(),
+        )
 
     def _make_pong(self, ping: Ping) -> Pong:
         tracker = self._tracker
         behind = ping.version < tracker.version
+        self._quarantine.merge(ping.suspicions)
         return Pong(
             tracker.version,
             tracker.age_s(),
             self.execution.load(),
             self.execution.serving,
             tracker.encoded if behind else b"",
+            self._quarantine.recent(),
         )
 
     def _pinged(self, address: str, pong: Pong, asked_at: float) -> None:
+        self._quarantine.merge(pong.suspicions)
         self._tracker.learn(pong.version, pong.age_s, asked_at, pong.configuration)
 
     def _lend_tokens(self, request: TokenRequest) -> TokenGrant:
@@ -370,33 +421,67 @@
 
     # Configuration.
 
-    async def _follow_configuration(self) -> None:
+    async def _watch_configuration(self) -> None:
+        """Take changes of the configuration as soon as the store tells them."""
         revision = 0
         while True:
-            asked_at = self._clock.monotonic()
             try:
-                if revision:
-                    changed, revision = await self._reader.wait(revision, WATCH_S)
-                else:
-                    changed = True
+                if not revision:
+                    revision = await self._read_configuration()
+                changed, revision = await self._reader.wait(revision, WATCH_S)
                 if changed:
-                    asked_at = self._clock.monotonic()
-                    document, revision = await self._reader.read()
-                    if document is not None:
-                        self._tracker.apply(document, "store")
-                self._tracker.confirm(asked_at)
+                    revision = await self._read_configuration()
             except HistoryLost:
                 revision = 0
             except (StoreUnavailable, StoreOutcomeUnknown) as error:
-                logging.log_every_n_seconds(
-                    logging.WARNING,
-                    'event=configuration-unreadable age_s=%.2f error="%s"',
-                    1,
-                    self._tracker.age_s(),
-                    error,
-                )
+                # A watch that was cut may have missed changes.
+                revision = 0
+                self._log_unreadable(error)
                 await asyncio.sleep(RETRY_S)
 
+    async def _prove_configuration(self) -> None:
+        """Prove from time to time that this node's configuration is current."""
+        while True:
+            own_read_s = OWN_READ_SHARE * self._tracker.freshness_s
+            age_s = READ_S if self._reads_for_others() else own_read_s
+            due_s = age_s - self._tracker.age_s()
+            if due_s > 0.0:
+                await asyncio.sleep(due_s)
+                continue
+            try:
+                await self._read_configuration()
+            except (StoreUnavailable, StoreOutcomeUnknown) as error:
+                self._log_unreadable(error)
+                await asyncio.sleep(RETRY_S)
+
+    async def _read_configuration(self) -> int:
+        """Read the configuration; return the revision to watch from."""
+        asked_at = self._clock.monotonic()
+        document, revision = await self._reader.read()
+        if document is not None:
+            self._tracker.apply(document, "store")
+        self._tracker.confirm(asked_at)
+        return revision
+
+    def _reads_for_others(self) -> bool:
+        """Tell whether this node is among the readers of its failure domain."""
+        node = self._settings.node
+        names = sorted(
+            record.node
+            for record in self.registry.nodes.values()
+            if record.failure_domain == node.failure_domain
+        )
+        return node.name in names[:READERS_PER_DOMAIN]
+
+    def _log_unreadable(self, error: Exception) -> None:
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            'event=configuration-unreadable age_s=%.2f error="%s"',
+            1,
+            self._tracker.age_s(),
+            error,
+        )
+
     # Stop.
 
     async def _drain(self) -> None:
@@ -436,6 +521,14 @@
             await asyncio.sleep(RETRY_S)
 
 
+def read_settings_bytes(path: str) -> bytes:
+    try:
+        return Path(path).read_bytes()
+    except OSError as error:
+        logging.error('event=settings-unreadable error="%s"', error)
+        return b""
+
+
 def make_member(record: NodeRecord) -> Member:
     server = record.server
     assert server is not None
--- a/src/heathermount/gateway/quota.py
+++ b/src/heathermount/gateway/quota.py
@@ -81,11 +81,13 @@
 class Demand:
     """Requests per second of one organisation at this node, averaged."""
 
-    __slots__ = ("_count", "_updated_at", "fetched", "fetched_at")
+    __slots__ = ("_count", "_updated_at", "empty_until", "fetched", "fetched_at")
 
     def __init__(self, now: float) -> None:
         self._count = 0.0
         self._updated_at = now
+        # Times until which holders had nothing to lend, by what they said.
+        self.empty_until: dict[str, float] = {}
         # Tokens from other nodes that are still valid, and when they came.
         self.fetched = 0
         self.fetched_at = now
@@ -97,6 +99,18 @@
     def batch(self) -> int:
         return min(MAX_BATCH, 1 + int(self._count * BATCH_S))
 
+    def rank_holders(self, holders: list[str], own: str, now: float) -> list[str]:
+        """Return the holders to ask: those that may have tokens, longest first."""
+        empty_until = self.empty_until
+        willing = [
+            holder
+            for holder in holders
+            if holder != own and empty_until.get(holder, 0.0) <= now
+        ]
+        # Holders that were never asked come first; nodes begin at different ones.
+        willing.sort(key=lambda h: (empty_until.get(h, 0.0), hash((own, h))))
+        return willing[:MAX_ASKED]
+
     def take_fetched(self, now: float) -> bool:
         if now - self.fetched_at > PURSE_S:
             self.fetched = 0
@@ -147,6 +161,11 @@
         """Let shares that this node takes from now on start without tokens."""
         self._full = False
 
+    def count_holders(self, organisation: str) -> int:
+        """Return among how many nodes an organisation's limits are divided."""
+        known = self._holders.get(organisation)
+        return len(known[1]) if known is not None else 0
+
     async def acquire(self, organisation: OrganisationEntry) -> None:
         """Spend one token; raise Refusal when there is none."""
         if organisation.rate <= 0.0:
@@ -172,8 +191,11 @@
     def give_back(self, organisation: OrganisationEntry) -> None:
         """Return the token of a request that did not run."""
         bucket = self._buckets.get(organisation.name)
+        demand = self._demands.get(organisation.name)
         if bucket is not None:
             bucket.level = min(bucket.capacity, bucket.level + 1.0)
+        elif demand is not None:
+            demand.fetched += 1
 
     def lend(self, organisation: OrganisationEntry, amount: int) -> TokenGrant:
         """Give tokens to another node: at most half of what is here, or one."""
@@ -182,21 +204,22 @@
             return TokenGrant(0, UNKNOWN_WAIT_S)
         granted = min(amount, max(int(bucket.level / 2), int(bucket.level >= 1.0)))
         bucket.level -= granted
-        return TokenGrant(granted, bucket.wait_s())
+        return TokenGrant(granted, bucket.wait_s(), bucket.level)
 
     async def _fetch(self, name: str, demand: Demand, holders: list[str]) -> float:
         """Ask other holders for tokens; return the shortest wait they state."""
         wait_s = UNKNOWN_WAIT_S
-        others = [holder for holder in holders if holder != self._node]
-        start = hash((self._node, int(self._clock.monotonic() * 10)))
-        for i in range(min(MAX_ASKED, len(others))):
-            holder = others[(start + i) % len(others)]
+        for holder in demand.rank_holders(holders, self._node, self._clock.monotonic()):
             try:
                 grant = await self._ask(holder, TokenRequest(name, demand.batch()))
             except PeerError:
                 # A holder that cannot be reached lends nothing; ask the next one.
+                demand.empty_until[holder] = self._clock.monotonic() + UNKNOWN_WAIT_S
                 continue
             wait_s = min(wait_s, grant.retry_after_s)
+            if grant.level < 1.0:
+                again_at = self._clock.monotonic() + grant.retry_after_s
+                demand.empty_until[holder] = again_at
             if grant.amount > 0:
                 demand.fetched += grant.amount
                 demand.fetched_at = self._clock.monotonic()
--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -27,6 +27,10 @@
 # Longest wait of one watch, in seconds; a waiting watch counts as one call.
 WATCH_S: Final = 20.0
 
+# Pause after a change, in seconds: nodes often change together, and each watch
+# that returns costs a call.
+SETTLE_S: Final = 0.3
+
 # An entry that lapsed while the store was away is kept for this long after the
 # store shows that it is missing, in seconds.
 LAPSE_GRACE_S: Final = 2.5
@@ -198,6 +202,7 @@
         dropped = self._drop_missing()
         if changes.events or dropped:
             self._changed()
+            await asyncio.sleep(SETTLE_S)
 
     def _take(self, key: str, value: bytes) -> None:
         try:
--- a/src/heathermount/platform/daemon.py
+++ b/src/heathermount/platform/daemon.py
@@ -24,15 +24,6 @@
 EXIT_BAD_SETTINGS: Final = 2
 
 
-def reload_settings(node: GatewayNode, path: str) -> None:
-    """Take over changed settings; keep the present ones if the file is invalid."""
-    try:
-        node.reload(GatewaySettings.from_file(path))
-    except ExceptionGroup as problems:
-        for problem in problems.exceptions:
-            logging.error('event=settings-invalid error="%s"', problem)
-
-
 async def serve(settings: GatewaySettings, path: str) -> None:
     """Run a node until SIGTERM; then stop it gracefully."""
     store = PlatformStore.from_config(settings.store.endpoint, settings.store.timeout_s)
@@ -45,9 +36,11 @@
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, node.stop)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, node, path)
+    loop.add_signal_handler(signal.SIGHUP, node.reload, path)
+    watching = loop.create_task(node.watch_settings(path))
     heartbeats = HeartbeatListener(node.execution, settings.node.service)
     await node.run(heartbeats.handle)
+    watching.cancel()
 
 
 def main() -> int:
--- a/src/heathermount/platform/operator.py
+++ b/src/heathermount/platform/operator.py
@@ -131,16 +131,19 @@
 class PlatformConfigurationReader:
     """Reads the operator's configuration; see ConfigurationReader."""
 
-    __slots__ = ("_store",)
+    __slots__ = ("_seen", "_store")
 
     def __init__(self, store: PlatformStore) -> None:
         self._store = store
+        # Revision of the configuration that was read last.
+        self._seen = 0
 
     async def read(self) -> tuple[GatewayDocument | None, int]:
         items, revision = await self._store.read_prefix(CONFIGURATION_KEY)
         item = items.get(CONFIGURATION_KEY)
-        if item is None:
+        if item is None or item.version == self._seen:
             return None, revision
+        self._seen = item.version
         try:
             return decode_configuration(item.value), revision
         except InvalidMessage as error:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -36,6 +36,7 @@
 from heathermount.platform.heartbeats import HeartbeatListener
 from heathermount.platform.operator import PlatformConfigurationReader
 from heathermount.platform.store import PlatformStore
+from heathermount.routing.quarantine import Quarantine
 from heathermount.standins.platform_server import PlatformServerStandIn
 from heathermount.standins.platform_store import PlatformStoreStandIn
 from heathermount.store.interface import WatchedStore
@@ -143,6 +144,7 @@
         DecisionLog(clock),
         PolicySettings(),
         drain_s,
+        Quarantine(clock),
         lambda: None,
     )
 
@@ -166,6 +168,7 @@
         "patience_s": 1.0,
         "idempotent": True,
         "version": 1,
+        "fingerprint": b"f-1",
     } | fields
     return Execute(request_id=request_id, **values)
 
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -16,7 +16,11 @@
 )
 from heathermount.clocks import ManualClock, SystemClock
 from heathermount.gateway.execution import Execution
-from heathermount.standins.platform_server import Fault, PlatformServerStandIn
+from heathermount.standins.platform_server import (
+    Fault,
+    PlatformServerStandIn,
+    ServedRequest,
+)
 from heathermount.values import Outcome, Reason
 
 
@@ -197,3 +201,68 @@
         server.stop()
 
     run_async(check)
+
+
+def test_a_request_that_crashes_servers_is_blocked() -> None:
+    """Guards against one request that takes down one server after the other."""
+
+    async def check() -> None:
+        place = Place()
+        for start in (1, 2):
+            place.server = PlatformServerStandIn("i-1")
+
+            async def crash(request: ServedRequest) -> int:
+                place.server.stop()
+                raise ConnectionResetError("crashed")
+
+            place.server.work = crash
+            if start == 1:
+                await place.start()
+            else:
+                await place.server.start()
+                place.execution.announce(
+                    make_announcement(place.server.address, born_ms=start)
+                )
+            answer = await place.execution.execute(make_execute())
+            assert answer.reason == Reason.SERVER_FAILED
+        place.server = PlatformServerStandIn("i-1")
+        await place.server.start()
+        place.execution.announce(make_announcement(place.server.address, born_ms=3))
+        answer = await place.execution.execute(make_execute())
+        assert (answer.reason, answer.outcome) == (Reason.QUARANTINED, Outcome.NOT_RUN)
+        other = await place.execution.execute(make_execute(fingerprint=b"f-2"))
+        assert not other.reason
+        place.server.stop()
+
+    run_async(check)
+
+
+def test_a_lost_answer_is_no_crash() -> None:
+    """Guards against requests that are blocked because answers were lost."""
+
+    async def check() -> None:
+        place = Place()
+        await place.start()
+        place.server.faults = [Fault.LOST] * 5
+        for _ in range(5):
+            await place.execution.execute(make_execute())
+        assert not (await place.execution.execute(make_execute())).reason
+        place.server.stop()
+
+    run_async(check)
+
+
+def test_a_silent_server_gets_no_requests() -> None:
+    """Guards against requests that wait for a server that was cut off."""
+
+    async def check() -> None:
+        place = Place()
+        await place.start()
+        place.clock.advance(4.0)
+        answer = await place.execution.execute(make_execute(key_digest=b""))
+        assert (answer.reason, answer.outcome) == (Reason.NO_SERVER, Outcome.NOT_RUN)
+        place.execution.announce(make_announcement(place.server.address, sequence=2))
+        assert not (await place.execution.execute(make_execute(key_digest=b""))).reason
+        place.server.stop()
+
+    run_async(check)
