Serve metrics of gateway nodes on the readiness address

Cause: operators on the platform had logs only. Change: counters of entries, executions and repeats by result, times in the queue and at the server in hdrhistogram, and gauges of configuration, links, load and store calls, in the Prometheus text format under /metrics.

--- a/src/heathermount/gateway/decisions.py
+++ b/src/heathermount/gateway/decisions.py
@@ -17,14 +17,15 @@
 class DecisionLog:
     """Writes a bounded number of lines per second and counts the others."""
 
-    __slots__ = ("_clock", "_lines", "_second", "dropped")
+    __slots__ = ("_clock", "_lines", "_second", "dropped", "dropped_total")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._second = 0
         self._lines = 0
-        # Lines that were left out since the last one.
+        # Lines that were left out since the last one, and since the start.
         self.dropped = 0
+        self.dropped_total = 0
 
     def record(self, kind: str, **fields: FieldValue) -> None:
         """Write a line about one decision, unless too many were written."""
@@ -34,6 +35,7 @@
             self._lines = 0
         if self._lines >= LINES_PER_S:
             self.dropped += 1
+            self.dropped_total += 1
             return
         self._lines += 1
         pairs = "".join(f" {name}={format_value(v)}" for name, v in fields.items())
--- a/src/heathermount/gateway/entry.py
+++ b/src/heathermount/gateway/entry.py
@@ -28,6 +28,7 @@
 )
 from heathermount.gateway.links import LinkTable
 from heathermount.gateway.messages import Answer, Execute
+from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.quota import QuotaShares
 from heathermount.gateway.refusals import make_refusal, refusal_of, response_of
 from heathermount.routing.balancer import Balancer, NoServer
@@ -125,6 +126,7 @@
         "_find_parent",
         "_links",
         "_log",
+        "_metrics",
         "_node",
         "_quota",
         "_random",
@@ -149,7 +151,9 @@
         clock: Clock,
         random: Random,
         log: DecisionLog,
+        metrics: GatewayMetrics,
     ) -> None:
+        self._metrics = metrics
         self._log = log
         self._node = node
         self._service = service.encode()
@@ -182,8 +186,10 @@
         try:
             call = self._open(request)
             answer = await self._follow(call)
+            self._metrics.count("entries", "served")
             return HttpResponse(answer.status, answer.headers, answer.body)
         except Refusal as refusal:
+            self._metrics.count("entries", refusal.reason)
             self._log_refusal(request, refusal)
             response = response_of(refusal)
             request_id = find_header(request.headers, self._dialect.request_id)
@@ -508,7 +514,9 @@
 
     def _take_repeat(self, call: Call) -> bool:
         reserve = CALL_RESERVE if call.organisation is None else 0.0
-        return self._budget.take(call.message.service, reserve)
+        taken = self._budget.take(call.message.service, reserve)
+        self._metrics.count("repeats", "sent" if taken else "over-budget")
+        return taken
 
     def _may_repeat(self, call: Call, answer: Answer) -> bool:
         """Decide whether to send a request to another server.
--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -26,6 +26,7 @@
 from heathermount.gateway.dialect import Dialect
 from heathermount.gateway.http import find_header
 from heathermount.gateway.messages import Answer, Execute
+from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.refusals import answer_of, make_refusal
 from heathermount.gateway.upstream import (
     ServerAnswer,
@@ -111,6 +112,7 @@
         "_last_sign_at",
         "_left_at",
         "_log",
+        "_metrics",
         "_pool",
         "_random",
         "_service",
@@ -138,6 +140,7 @@
         settings: PolicySettings,
         drain_s: float,
         quarantine: Quarantine,
+        metrics: GatewayMetrics,
         updated: Callable[[], None],
     ) -> None:
         self._service = service
@@ -152,6 +155,7 @@
         # Time after which a leaving server must get no more requests, in seconds.
         self._drain_s = drain_s
         self._quarantine = quarantine
+        self._metrics = metrics
         self._updated = updated
         # When the backend server last answered or sent a heartbeat.
         self._last_sign_at = clock.monotonic()
@@ -259,6 +263,7 @@
             answer = answer_of(refusal)
         finally:
             self.active -= 1
+        self._metrics.count("executions", answer.reason or "served")
         if self.admission is not None:
             answer.load = self.admission.load()
             answer.thresholds.append(
@@ -281,7 +286,10 @@
             message.cohort,
             min(deadline, patience),
         )
+        queued_at = self._clock.monotonic()
         permit = await admission.admit(ticket)
+        started_at = self._clock.monotonic()
+        self._metrics.record("queue_wait", started_at - queued_at)
         result = RunResult.CANCELLED
         context = RunContext(message, permit)
         try:
@@ -294,6 +302,7 @@
             return answer
         finally:
             self.contexts.pop(message.request_id, None)
+            self._metrics.record("server", self._clock.monotonic() - started_at)
             admission.release(permit, result)
 
     def _check_before_run(self, message: Execute) -> None:
--- a/src/heathermount/gateway/links.py
+++ b/src/heathermount/gateway/links.py
@@ -354,6 +354,9 @@
         link = self._links.get(address)
         return link is not None and link.usable
 
+    def count_usable(self) -> int:
+        return sum(link.usable for link in self._links.values())
+
     def retain(self, addresses: set[str]) -> None:
         """Close the links to all other addresses."""
         for address in self._links.keys() - addresses:
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -38,6 +38,7 @@
     TokenGrant,
     TokenRequest,
 )
+from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.quota import QuotaShares
 from heathermount.gateway.registry import NodeRecord, Registry, ServerRecord
 from heathermount.gateway.settings import GatewaySettings
@@ -82,6 +83,9 @@
 # Period at which the settings file is compared with what was read, in seconds.
 SETTINGS_POLL_S: Final = 2.0
 
+METRICS_PATH: Final = b"/metrics"
+METRICS_HEADERS: Final = [(b"content-type", b"text/plain; version=0.0.4")]
+
 BACKLOG: Final = 1024
 
 TOKEN_TIMEOUT_S: Final = 0.25
@@ -115,6 +119,8 @@
         "_dialect",
         "_entry",
         "_links",
+        "_log",
+        "_metrics",
         "_observers",
         "_peers",
         "_quarantine",
@@ -124,6 +130,7 @@
         "_services",
         "_settings",
         "_stopping",
+        "_store",
         "_thresholds",
         "_tracker",
         "execution",
@@ -145,6 +152,9 @@
         self._dialect = dialect
         self._clock = clock
         log = DecisionLog(clock)
+        self._log = log
+        self._store = store
+        self._metrics = GatewayMetrics(self._read_gauges)
         events = EventLog(node.name, clock)
         revocation_s = parse_duration(settings.bounds.revocation)
         self._tracker = ConfigurationTracker(clock, FRESHNESS_SHARE * revocation_s)
@@ -166,6 +176,7 @@
             settings.policy,
             parse_duration(settings.bounds.drain),
             self._quarantine,
+            self._metrics,
             self._server_changed,
         )
         self._entry = Entry(
@@ -183,6 +194,7 @@
             clock,
             random,
             log,
+            self._metrics,
         )
         record = NodeRecord(
             node.name,
@@ -312,10 +324,30 @@
         return policy.limits if policy is not None else HttpLimits()
 
     async def _observe(self, request: HttpRequest) -> HttpResponse:
+        if request.target == METRICS_PATH:
+            return HttpResponse(200, METRICS_HEADERS, self._metrics.render())
         reasons = self.unready_reasons()
         status = 503 if reasons else 200
         return HttpResponse(status, [], " ".join(reasons).encode())
 
+    def _read_gauges(self) -> dict[str, float]:
+        load = self.execution.load()
+        gauges = {
+            "configuration_version": float(self._tracker.version),
+            "configuration_age_seconds": self._tracker.age_s(),
+            "nodes": float(len(self.registry.nodes)),
+            "links_usable": float(self._links.count_usable()),
+            "clients": float(len(self._clients)),
+            "log_lines_dropped": float(self._log.dropped_total),
+        }
+        if load is not None:
+            gauges["server_running"] = float(load.running)
+            gauges["server_queued"] = float(load.queued)
+            gauges["server_limit"] = float(load.limit)
+        for call, count in self._store.calls.items():
+            gauges[f"store_calls_{call.replace('-', '_')}"] = float(count)
+        return gauges
+
     def unready_reasons(self) -> list[str]:
         """Return why clients should not use this node; empty when it is ready."""
         reasons = []
--- a/src/heathermount/store/interface.py
+++ b/src/heathermount/store/interface.py
@@ -90,6 +90,9 @@
     The calls fail like those of Store.
     """
 
+    # Calls by kind since the start.
+    calls: dict[str, int]
+
     async def read_prefix(self, prefix: str) -> tuple[dict[str, Versioned], int]:
         """Return all keys under a prefix, and the revision to watch from."""
 
--- /dev/null
+++ b/target/deps/pbr/extra_files.py
@@ -0,0 +1,39 @@
+# Copyright (c) 2013 Hewlett-Packard Development Company, L.P.
+#
+# Licensed under the Apache License, Version 2.0 (the "License");
+# you may not use this file except in compliance with the License.
+# You may obtain a copy of the License at
+#
+#    http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS,
+# WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or
+# implied.
+# See the License for the specific language governing permissions and
+# limitations under the License.
+
+from __future__ import absolute_import
+from __future__ import print_function
+
+from distutils import errors
+import os
+
+_extra_files = []
+
+
+def get_extra_files():
+    global _extra_files
+    return _extra_files
+
+
+def set_extra_files(extra_files):
+    # Let's do a sanity check
+    for filename in extra_files:
+        if not os.path.exists(filename):
+            raise errors.DistutilsFileError(
+                '%s from the extra_files option in setup.cfg does not '
+                'exist' % filename
+            )
+    global _extra_files
+    _extra_files[:] = extra_files[:]
--- /dev/null
+++ b/target/deps/pbr/tests/__init__.py
@@ -0,0 +1,29 @@
+# Licensed under the Apache License, Version 2.0 (the "License");
+# you may not use this file except in compliance with the License.
+# You may obtain a copy of the License at
+#
+#    http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS,
+# WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or
+# implied.
+# See the License for the specific language governing permissions and
+# limitations under the License.
+
+from __future__ import absolute_import
+from __future__ import print_function
+
+import os
+
+import testscenarios
+
+
+def load_tests(loader, standard_tests, pattern):
+    # top level directory cached on loader instance
+    this_dir = os.path.dirname(__file__)
+    package_tests = loader.discover(start_dir=this_dir, pattern=pattern)
+    result = loader.suiteClass()
+    result.addTests(testscenarios.generate_scenarios(standard_tests))
+    result.addTests(testscenarios.generate_scenarios(package_tests))
+    return result
--- /dev/null
+++ b/target/deps/pbr/tests/testpackage/pbr_testpackage/__init__.py
@@ -0,0 +1,3 @@
+import pbr.version
+
+__version__ = pbr.version.VersionInfo('pbr_testpackage').version_string()
--- /dev/null
+++ b/target/deps/prometheus_client/django/__init__.py
@@ -0,0 +1,5 @@
+from .exposition import PrometheusDjangoView
+
+__all__ = [
+    "PrometheusDjangoView",
+]
--- /dev/null
+++ b/target/deps/prometheus_client/twisted/__init__.py
@@ -0,0 +1,3 @@
+from ._exposition import MetricsResource
+
+__all__ = ['MetricsResource']
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -29,6 +29,7 @@
     HttpResponse,
 )
 from heathermount.gateway.messages import Execute
+from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.node import GatewayNode
 from heathermount.gateway.settings import GatewaySettings
 from heathermount.invariants import Invariants
@@ -145,6 +146,7 @@
         PolicySettings(),
         drain_s,
         Quarantine(clock),
+        GatewayMetrics(dict),
         lambda: None,
     )
 
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -283,3 +283,27 @@
             assert (message.account, message.organisation) == ("anna", "")
 
     run_async(check)
+
+
+def test_metrics_tell_what_was_decided() -> None:
+    """Guards against operators who cannot see refusals and their reasons."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry",)) as (_, nodes):
+            await nodes[0].request()
+            await nodes[0].request(key="wrong")
+            status, _, body = await send_request(
+                nodes[0].settings.listen.readiness, "GET", "/metrics"
+            )
+            text = body.decode()
+            assert status == 200
+            for line in (
+                'heathermount_entries_total{result="served"} 1.0',
+                'heathermount_entries_total{result="key-unknown"} 1.0',
+                'heathermount_executions_total{result="served"} 1.0',
+                "heathermount_configuration_version 1.0",
+                'heathermount_server_seconds{quantile="0.99"}',
+            ):
+                assert line in text
+
+    run_async(check)
