Spread the return of clients over quota and bound logs by kind

Change: Retry-After grows with the refusals of the last second over this node's share of the rate; the bound on log lines holds for each kind.

--- a/src/heathermount/gateway/decisions.py
+++ b/src/heathermount/gateway/decisions.py
@@ -1,5 +1,6 @@
 """Log of decisions: one line of key=value pairs each, bounded in volume."""
 
+from collections import Counter
 from typing import Final
 
 from absl import logging
@@ -9,22 +10,22 @@
 
 __all__ = ["DecisionLog"]
 
-# Most lines per second; a flood of refusals must not cost the processor time
-# that the requests need.
+# Most lines of one kind per second; a flood of refusals must not cost the
+# processor time that the requests need, nor hide rarer decisions.
 LINES_PER_S: Final = 20
 
 
 class DecisionLog:
-    """Writes a bounded number of lines per second and counts the others."""
+    """Writes a bounded number of lines of each kind and counts the others."""
 
-    __slots__ = ("_clock", "_lines", "_second", "dropped", "dropped_total")
+    __slots__ = ("_clock", "_dropped", "_lines", "_second", "dropped_total")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._second = 0
-        self._lines = 0
-        # Lines that were left out since the last one, and since the start.
-        self.dropped = 0
+        # Lines written in this second, and left out since the last one, by kind.
+        self._lines: Counter[str] = Counter()
+        self._dropped: Counter[str] = Counter()
         self.dropped_total = 0
 
     def record(self, kind: str, **fields: FieldValue) -> None:
@@ -32,15 +33,15 @@
         second = int(self._clock.monotonic())
         if second != self._second:
             self._second = second
-            self._lines = 0
-        if self._lines >= LINES_PER_S:
-            self.dropped += 1
+            self._lines.clear()
+        if self._lines[kind] >= LINES_PER_S:
+            self._dropped[kind] += 1
             self.dropped_total += 1
             return
-        self._lines += 1
+        self._lines[kind] += 1
         pairs = "".join(f" {name}={format_value(v)}" for name, v in fields.items())
-        dropped = f" dropped_before={self.dropped}" if self.dropped else ""
-        self.dropped = 0
+        left_out = self._dropped.pop(kind, 0)
+        dropped = f" dropped_before={left_out}" if left_out else ""
         logging.info("event=%s%s%s", kind, pairs, dropped)
 
 
--- a/src/heathermount/gateway/quota.py
+++ b/src/heathermount/gateway/quota.py
@@ -33,6 +33,9 @@
 UNKNOWN_WAIT_S: Final = 1.0
 MIN_WAIT_S: Final = 0.05
 
+# Longest wait that is suggested, in seconds: clients have a few seconds in all.
+MAX_WAIT_S: Final = 2.0
+
 AskHolder = Callable[[str, TokenRequest], Awaitable[TokenGrant]]
 
 
@@ -81,11 +84,21 @@
 class Demand:
     """Requests per second of one organisation at this node, averaged."""
 
-    __slots__ = ("_count", "_updated_at", "empty_until", "fetched", "fetched_at")
+    __slots__ = (
+        "_count",
+        "_refused",
+        "_refused_at",
+        "_updated_at",
+        "empty_until",
+        "fetched",
+        "fetched_at",
+    )
 
     def __init__(self, now: float) -> None:
         self._count = 0.0
         self._updated_at = now
+        self._refused = 0.0
+        self._refused_at = now
         # Times until which holders had nothing to lend, by what they said.
         self.empty_until: dict[str, float] = {}
         # Tokens from other nodes that are still valid, and when they came.
@@ -96,6 +109,12 @@
         self._count = self._count * math.exp(self._updated_at - now) + 1.0
         self._updated_at = now
 
+    def refuse(self, now: float) -> float:
+        """Count a refusal; return the recent ones, decayed over a second."""
+        self._refused = self._refused * math.exp(self._refused_at - now) + 1.0
+        self._refused_at = now
+        return self._refused
+
     def batch(self) -> int:
         return min(MAX_BATCH, 1 + int(self._count * BATCH_S))
 
@@ -186,7 +205,18 @@
         wait_s = min(wait_s, await self._fetch(name, demand, holders))
         if demand.take_fetched(self._clock.monotonic()):
             return
-        raise make_refusal(Reason.OVER_RATE, Outcome.NOT_RUN, max(MIN_WAIT_S, wait_s))
+        wait_s = max(MIN_WAIT_S, wait_s, self._expect_wait(organisation, demand))
+        raise make_refusal(Reason.OVER_RATE, Outcome.NOT_RUN, wait_s)
+
+    def _expect_wait(self, organisation: OrganisationEntry, demand: Demand) -> float:
+        """Return when this node could serve those that it refused lately.
+
+        Answers an organisation that sends more than its rate: clients that all
+        came back for the next token would mostly be refused again.
+        """
+        own_rate = organisation.rate / len(self._nodes)
+        refused = demand.refuse(self._clock.monotonic())
+        return min(MAX_WAIT_S, refused / own_rate)
 
     def give_back(self, organisation: OrganisationEntry) -> None:
         """Return the token of a request that did not run."""
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -4,12 +4,14 @@
 from collections import deque
 
 import pytest
+from absl import logging
 from hypothesis import given, strategies as st
 
 from builders_gateway import make_organisation, run_async
 from heathermount.clocks import ManualClock
 from heathermount.errors import PeerUnreachable, Refusal
 from heathermount.gateway.budget import RepeatBudget, RepeatLimits
+from heathermount.gateway.decisions import DecisionLog
 from heathermount.gateway.document import OrganisationEntry
 from heathermount.gateway.messages import TokenGrant, TokenRequest
 from heathermount.gateway.quota import QuotaShares, choose_holders
@@ -151,3 +153,42 @@
     calls = sum(budget.take("dropoff", 0.5) for _ in range(100))
     requests = sum(budget.take("dropoff") for _ in range(100))
     assert calls == 16 and requests == 16
+
+
+def test_refused_clients_are_told_to_come_back_one_after_the_other() -> None:
+    """Guards against a Retry-After that brings all refused clients back at once."""
+
+    async def check() -> None:
+        clock = ManualClock()
+        fleet = QuotaFleet(clock, make_organisation(rate=8.0, burst=8.0), 4)
+        waits: list[float] = []
+        for _ in range(20):
+            try:
+                await fleet.shares["n-0"].acquire(fleet.organisation)
+            except Refusal as refusal:
+                assert refusal.retry_after_s is not None
+                waits.append(refusal.retry_after_s)
+        assert waits == sorted(waits)
+        assert waits[0] == pytest.approx(0.5) and waits[-1] == 2.0
+
+    run_async(check)
+
+
+def test_floods_of_one_kind_do_not_hide_other_decisions(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against log volume under load, and against lines that it hides."""
+    logging.set_verbosity(logging.INFO)
+    logging.get_absl_logger().propagate = True
+    clock = ManualClock()
+    log = DecisionLog(clock)
+    with caplog.at_level("INFO", logger="absl"):
+        for i in range(1000):
+            log.record("shed", request=f"r-{i}")
+        log.record("answer-broken", request="r-1")
+        clock.advance(1.0)
+        log.record("shed", request="r-last")
+    lines = [record.getMessage() for record in caplog.records]
+    assert len(lines) == 22
+    assert lines[20] == "event=answer-broken request=r-1"
+    assert lines[21] == "event=shed request=r-last dropped_before=980"
