Explain a failed request from the nodes' logs

Cause: on-call engineers have only logs, spread over the nodes. Change: heathermountctl explain REQUEST-ID FILE... merges logs, shows the lines of the request, of its calls and the node's last change of configuration, and names the cause. Measured: a test causes the three kinds of failure on a fleet and finds each.

--- a/src/heathermount/cli/control.py
+++ b/src/heathermount/cli/control.py
@@ -13,6 +13,8 @@
   drain NODE            take a node's backend server out of service gracefully
   undrain NODE          put it back
   timeline              show all nodes' recent events in causal order
+  explain ID FILE...    show from nodes' logs what happened to a request; needs
+                        no fleet
 
 Exit codes
   0  done
@@ -41,6 +43,7 @@
 
 from heathermount.cli import actions
 from heathermount.cli.actions import FleetAccess, Rollout
+from heathermount.cli.explanation import explain_request, read_logs
 from heathermount.cli.output import Printer
 from heathermount.config.checking import TableChecker
 from heathermount.config.settings import (
@@ -140,6 +143,8 @@
     try:
         if arguments[:1] == ["check"]:
             return check(printer, arguments[1:])
+        if arguments[:1] == ["explain"]:
+            return explain(printer, arguments[1:])
         command, operands = find_command(arguments)
         return anyio.run(run_command, command, values, printer, operands)
     except Exception as error:
@@ -257,6 +262,14 @@
     return ExitCode.OK
 
 
+def explain(printer: Printer, operands: list[str]) -> int:
+    if len(operands) < 2:
+        raise Usage("write: heathermountctl explain REQUEST-ID FILE...")
+    request, *paths = operands
+    printer.explanation(explain_request(request, read_logs(paths)))
+    return ExitCode.OK
+
+
 async def show_diff(
     access: FleetAccess, values: Any, printer: Printer, operands: list[str]
 ) -> int:
--- a/src/heathermount/cli/output.py
+++ b/src/heathermount/cli/output.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from heathermount.cli.actions import KeyRow, NodeState, Rollout
+from heathermount.cli.explanation import Explanation
 from heathermount.config.operations import Preview
 from heathermount.events import Event, format_event
 from heathermount.wire.control import DrainReply
@@ -46,6 +47,10 @@
     def checked(self, path: str, kind: str) -> None:
         self._write({"file": path, "kind": kind}, [f"{path}: valid {kind}"])
 
+    def explanation(self, found: Explanation) -> None:
+        lines = [f"{line.at} {line.source} {line.text}" for line in found.lines]
+        self._write(msgspec.to_builtins(found), [*lines, f"verdict: {found.verdict}"])
+
     def diff(self, change: Preview) -> None:
         lines = [f"+ {path} = {to_json(change.sets[path])}" for path in change.sets]
         lines += [f"- {path}" for path in change.removes]
--- /dev/null
+++ b/tests/test_explanation.py
@@ -0,0 +1,109 @@
+"""The cause of a failed request is found from its identifier and the nodes' logs."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from absl import logging
+
+from builders_gateway import (
+    RunningNode,
+    encode_configuration,
+    make_document,
+    make_organisation,
+    make_route,
+    run_async,
+    run_fleet,
+    wait_for,
+)
+from heathermount.cli.explanation import explain_request, parse_line, read_logs
+from heathermount.standins.platform_server import Fault
+
+LINES = [
+    "I0802 21:22:07.100000 1 configuration.py:48] event=configuration-applied "
+    "version=7 previous=5 source=store routes=22",
+    "noise without a stamp event=request-refused request=r-1",
+    "I0802 21:22:07.300000 1 decisions.py:42] event=request-refused request=r-1 "
+    "status=401 reason=key-unknown outcome=not-run version=7 age_s=0.861",
+    "I0802 21:22:07.200000 1 decisions.py:42] event=execution-refused "
+    'request=r-1.c-2 reason=shed error="two words"',
+    "I0802 21:22:07.250000 1 decisions.py:42] event=request-refused request=r-10 "
+    "status=503 reason=shed outcome=not-run version=7 age_s=0.861",
+]
+
+
+def test_merges_lines_of_a_request_and_its_calls(tmp_path: Path) -> None:
+    """Guards against an explanation that mixes requests or misses calls."""
+    (tmp_path / "n-1.log").write_text("\n".join(LINES))
+    found = explain_request("r-1", read_logs([str(tmp_path / "n-1.log")]))
+    assert [line.kind for line in found.lines] == [
+        "configuration-applied",
+        "execution-refused",
+        "request-refused",
+    ]
+    assert found.verdict.startswith("n-1 answered 401 (key-unknown, not-run)")
+    assert found.lines[1].fields["error"] == "two words"
+
+
+def test_takes_the_node_from_merged_logs() -> None:
+    """Guards against lines of a collector that count for the wrong node."""
+    line = parse_line("   1.08 sidecar-a-1 " + LINES[0], "all")
+    assert line is not None and line.source == "sidecar-a-1"
+
+
+def test_the_command_explains_each_kind_of_failure(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against failures whose cause cannot be found from their identifier."""
+    path = tmp_path / "fleet.log"
+
+    async def cause_failures() -> None:
+        limited = make_organisation(rate=1.0, burst=1.0)
+        route = make_route("order", "/order/", ("orders",), idempotent=False)
+        document = make_document(1, [make_route(), route], [limited])
+        async with run_fleet(("pantry", "orders"), document) as (store, nodes):
+            entry: RunningNode = nodes[0]
+            nodes[1].server.faults = [Fault.LOST]
+            assert (await entry.request("/order/1", "lost-answer"))[0] == 502
+            for _ in range(3):
+                status, _, _ = await entry.request("/stock/1", "over-quota")
+            assert status == 429
+            changed = make_document(2, [route], [make_organisation()])
+            store.operate("op/config", encode_configuration(changed))
+            await wait_for(lambda: "version=2 previous=1" in caplog.text)
+            assert (await entry.request("/stock/1", "after-change"))[0] == 404
+
+    logging.set_verbosity(logging.INFO)
+    logging.get_absl_logger().propagate = True
+    with caplog.at_level("INFO", logger="absl"):
+        run_async(cause_failures)
+    stamp = "I0802 21:22:07.{:06} 1 file.py:1] {}"
+    path.write_text(
+        "\n".join(
+            stamp.format(i, record.getMessage())
+            for i, record in enumerate(caplog.records)
+        )
+    )
+    expected = {
+        "lost-answer": ["event=answer-broken", "server-failed, unknown"],
+        "over-quota": ["event=over-rate", "organisation=anna", "over-rate, not-run"],
+        "after-change": ["version=2 previous=1", "route-unknown, not-run"],
+        "never-seen": ["no node refused it"],
+    }
+    for request, parts in expected.items():
+        found = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "heathermount.cli.control",
+                "explain",
+                request,
+                path,
+            ],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        for part in parts:
+            assert part in found.stdout
