Bound a node's withdrawal and offer versions only to nodes left behind

A change of the configuration was sent whole to every peer that pinged before its own watch returned. Change: the withdrawal waits 0.2 s; a version is offered 0.7 s after it was taken; the settings' addresses are checked; the reference describes the new settings.

--- a/src/heathermount/cli/reference.py
+++ b/src/heathermount/cli/reference.py
@@ -25,6 +25,12 @@
     StoreSettings,
     TimingSettings,
 )
+from heathermount.gateway.settings import (
+    BoundSettings,
+    GatewayListenSettings,
+    GatewayNodeSettings,
+    GatewayStoreSettings,
+)
 
 __all__ = ["make_reference"]
 
@@ -296,11 +302,69 @@
 """
 
 
+DURATION: Final = "is no number with `ms` or `s`"
+
+GATEWAY_HEAD: Final = """
+# Settings of a gateway node
+
+The settings of a node on the platform ([platform](platform.md)), which renders them
+from `deploy/node.toml.template`. `[policy]` is that of a node. Changes of `[bounds]`
+hold after SIGHUP or 2 s; other changes need a new start.
+"""
+
+GATEWAY_SECTIONS: Final = (
+    Section(
+        "[node]",
+        GatewayNodeSettings,
+        {
+            "name": Note("name of this node, unique in the fleet"),
+            "service": Note("service of the backend server beside it"),
+            "failure_domain": Note("failure domain of the instance"),
+            "application": Note("address of the backend server", "", ADDRESS),
+            "first_start": Note("the whole fleet starts for the first time"),
+        },
+    ),
+    Section(
+        "[listen]",
+        GatewayListenSettings,
+        {
+            "outbound": Note("requests of clients and of the server", "", ADDRESS),
+            "peers": Note("links of other nodes", "", ADDRESS),
+            "readiness": Note("readiness, and `/metrics`", "", ADDRESS),
+            "control": Note("heartbeats of the backend server", "", ADDRESS),
+        },
+    ),
+    Section(
+        "[store]",
+        GatewayStoreSettings,
+        {
+            "endpoint": Note("the platform's store", "", ADDRESS),
+            "timeout_s": Note("deadline of one call, without the wait of a watch", "s"),
+        },
+    ),
+    Section(
+        "[bounds]",
+        BoundSettings,
+        {
+            "drain": Note("a leaving server gets no request after it", "", DURATION),
+            "revocation": Note("a withdrawn key is dead after it", "", DURATION),
+            "grace": Note("a stopped process is killed after it", "", DURATION),
+            "repeat_ratio": Note("repeats for each request to a service"),
+            "repeat_window": Note("window of that bound", "", DURATION),
+            "repeat_slack": Note("repeats that are always allowed", "requests"),
+        },
+    ),
+)
+
+
 def make_reference() -> str:
     """Return the page; raise KeyError for a setting without a description."""
     lines = [HEAD, "# Settings of a node"]
     for section in NODE_SECTIONS:
         lines += write_section(section)
+    lines.append(GATEWAY_HEAD.rstrip())
+    for section in GATEWAY_SECTIONS:
+        lines += write_section(section)
     lines.append(DECLARATION_HEAD.rstrip())
     for section in DECLARATION_SECTIONS:
         lines += write_section(section)
--- a/src/heathermount/config/settings.py
+++ b/src/heathermount/config/settings.py
@@ -1,6 +1,7 @@
 """Settings of one node, read from TOML and checked in full before anything starts."""
 
 import ipaddress
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final, Self
 
@@ -193,6 +194,11 @@
         addresses["store.endpoint"] = store.endpoint
     if peers is not None:
         addresses |= {f"peers.seeds[{i}]": a for i, a in enumerate(peers.seeds)}
+    check_each_address(checker, addresses)
+
+
+def check_each_address(checker: TableChecker, addresses: Mapping[str, str]) -> None:
+    """Note each address that is not "ip:port"; `addresses` is by setting."""
     for key, address in addresses.items():
         if not is_address(address):
             checker.add(
--- a/src/heathermount/gateway/configuration.py
+++ b/src/heathermount/gateway/configuration.py
@@ -20,12 +20,20 @@
     which the version was certainly the newest.
     """
 
-    __slots__ = ("_clock", "confirmed_at", "encoded", "freshness_s", "policy")
+    __slots__ = (
+        "_clock",
+        "applied_at",
+        "confirmed_at",
+        "encoded",
+        "freshness_s",
+        "policy",
+    )
 
     def __init__(self, clock: Clock, freshness_s: float) -> None:
         self._clock = clock
         self.freshness_s = freshness_s
         self.policy: GatewayPolicy | None = None
+        self.applied_at = float("-inf")
         self.confirmed_at = float("-inf")
         self.encoded = b""
 
@@ -53,6 +61,7 @@
             len(document.routes),
         )
         self.policy = GatewayPolicy.from_config(document)
+        self.applied_at = self._clock.monotonic()
         self.encoded = msgspec.msgpack.encode(document)
         return True
 
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -61,6 +61,9 @@
 READ_S: Final = 1.0
 OWN_READ_SHARE: Final = 0.65
 
+# Time after which a node offers a version to peers that are behind, in seconds.
+OFFER_AFTER_S: Final = 0.7
+
 # Nodes of each failure domain that read for the others.
 READERS_PER_DOMAIN: Final = 1
 
@@ -385,7 +388,9 @@
 
     def _make_pong(self, ping: Ping) -> Pong:
         tracker = self._tracker
-        behind = ping.version < tracker.version
+        # Peers learn a change from the store; only those that did not are told.
+        known_s = self._clock.monotonic() - tracker.applied_at
+        behind = ping.version < tracker.version and known_s > OFFER_AFTER_S
         self._quarantine.merge(ping.suspicions)
         return Pong(
             tracker.version,
--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -24,6 +24,10 @@
 # 2 s of the store's return.
 RETRY_S: Final = 0.4
 
+# Longest wait of a stopping node for the end of its lease, in seconds; without an
+# answer the entry ends with the lease's term.
+WITHDRAW_S: Final = 0.2
+
 # Longest wait of one watch, in seconds; a waiting watch counts as one call.
 WATCH_S: Final = 20.0
 
@@ -158,9 +162,10 @@
         if not self._lease_id:
             return
         try:
-            await self._store.end_lease(self._lease_id)
-        except (StoreUnavailable, StoreOutcomeUnknown) as error:
-            logging.warning('event=withdrawal-failed error="%s"', error)
+            async with asyncio.timeout(WITHDRAW_S):
+                await self._store.end_lease(self._lease_id)
+        except (StoreUnavailable, StoreOutcomeUnknown, TimeoutError) as error:
+            logging.warning('event=withdrawal-failed error="%r"', error)
 
     async def follow(self) -> None:
         """Follow the entries of all nodes until cancelled."""
--- a/src/heathermount/gateway/settings.py
+++ b/src/heathermount/gateway/settings.py
@@ -6,7 +6,7 @@
 
 from heathermount.config.checking import TableChecker, load_toml
 from heathermount.config.durations import parse_duration
-from heathermount.config.settings import PolicySettings
+from heathermount.config.settings import PolicySettings, check_each_address
 from heathermount.gateway.budget import RepeatLimits
 
 __all__ = [
@@ -104,6 +104,7 @@
             name: checker.convert(config.get(name, {}), kind, name)
             for name, kind in SECTIONS.items()
         }
+        check_addresses(checker, tables["node"], tables["listen"], tables["store"])
         check_durations(checker, tables["bounds"])
         checker.finish()
         return cls(**tables)
@@ -118,6 +119,23 @@
 }
 
 
+def check_addresses(
+    checker: TableChecker,
+    node: GatewayNodeSettings | None,
+    listen: GatewayListenSettings | None,
+    store: GatewayStoreSettings | None,
+) -> None:
+    addresses: dict[str, str] = {}
+    if node is not None:
+        addresses["node.application"] = node.application
+    if listen is not None:
+        for name, address in msgspec.structs.asdict(listen).items():
+            addresses[f"listen.{name}"] = address
+    if store is not None:
+        addresses["store.endpoint"] = store.endpoint
+    check_each_address(checker, addresses)
+
+
 def check_durations(checker: TableChecker, bounds: BoundSettings | None) -> None:
     if bounds is None:
         return
--- /dev/null
+++ b/tests/test_gateway_settings.py
@@ -0,0 +1,62 @@
+"""Settings of gateway nodes are checked in full before anything starts."""
+
+import copy
+from typing import Any
+
+import pytest
+
+from heathermount.gateway.settings import GatewaySettings
+
+VALID: dict[str, Any] = {
+    "node": {
+        "name": "n-1",
+        "service": "pantry",
+        "failure_domain": "a",
+        "application": "10.0.0.1:80",
+    },
+    "listen": {
+        "outbound": "10.0.0.1:81",
+        "peers": "10.0.0.1:82",
+        "readiness": "10.0.0.1:83",
+        "control": "10.0.0.1:84",
+    },
+    "store": {"endpoint": "10.0.0.2:80"},
+    "bounds": {"drain": "1500ms", "repeat_slack": 48},
+}
+
+
+def test_reads_settings() -> None:
+    """Guards against a duration or a number that is read in another unit."""
+    settings = GatewaySettings.from_config(VALID, "node.toml")
+    assert settings.node.name == "n-1" and not settings.node.first_start
+    assert settings.bounds.drain == "1500ms"
+    assert settings.repeat_limits.slack == 48.0
+    assert settings.repeat_limits.window_s == 10.0
+
+
+@pytest.mark.parametrize(
+    ("section", "key", "value", "problem"),
+    [
+        ("node", "name", None, "node.name: is missing"),
+        ("node", "colour", "red", "node.colour: is unknown"),
+        ("listen", "peers", "host:80", "listen.peers: is 'host:80'"),
+        ("store", "endpoint", "10.0.0.2", "store.endpoint: is '10.0.0.2'"),
+        ("bounds", "grace", "6 hours", "bounds.grace: '6 hours' is no duration"),
+        ("bounds", "repeat_ratio", "much", "bounds.repeat_ratio: is 'much'"),
+        ("extra", "key", 1, "extra: is unknown"),
+    ],
+)
+def test_names_each_problem_with_its_remedy(
+    section: str, key: str, value: Any, problem: str
+) -> None:
+    """Guards against a node that starts with settings it does not understand."""
+    config = copy.deepcopy(VALID)
+    table = config.setdefault(section, {})
+    if value is None:
+        del table[key]
+    else:
+        table[key] = value
+    with pytest.raises(ExceptionGroup) as caught:
+        GatewaySettings.from_config(config, "node.toml")
+    (found,) = caught.value.exceptions
+    assert problem in str(found)
