--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $@
 
 demo: $(VENV)/.installed
-	$(BIN)/python -m heathermount.standins.demo
+	$(BIN)/python -m heathermount.runner.demo
 
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest
@@ -25,13 +25,13 @@
 	$(BIN)/mypy
 
 soak: $(VENV)/.installed
-	$(BIN)/python -m heathermount.standins.soak --seed=$(SEED) --seconds=$(SECONDS)
+	$(BIN)/python -m heathermount.soak.soak --seed=$(SEED) --seconds=$(SECONDS)
 
 measure: $(VENV)/.installed
-	$(BIN)/python -m heathermount.standins.measure
+	$(BIN)/python -m heathermount.measurement.measure
 
 capacity: $(VENV)/.installed
-	$(BIN)/python -m heathermount.standins.capacity
+	$(BIN)/python -m heathermount.capacity.capacity
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/src/heathermount/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes, models and the page of the two-year size."""
--- a/src/heathermount/standins/capacity_calls.py
+++ b/src/heathermount/capacity/calls.py
@@ -11,10 +11,10 @@
 import anyio
 from httpcore._synchronization import current_async_library
 
-from heathermount.standins.capacity_fleets import MeasuredFleet
-from heathermount.standins.capacity_records import Recorder
+from heathermount.capacity.fleets import MeasuredFleet
+from heathermount.capacity.records import Recorder
+from heathermount.measurement.latency import LATENCY_FLEET, measure_latency
 from heathermount.standins.connections import Connections
-from heathermount.standins.latency import LATENCY_FLEET, measure_latency
 
 __all__ = ["RATES", "measure_added_latency", "measure_calls", "measure_profile"]
 
--- a/src/heathermount/standins/capacity.py
+++ b/src/heathermount/capacity/capacity.py
@@ -1,6 +1,6 @@
 """Measures what each role costs and writes the capacity page.
 
-Run as `python -m heathermount.standins.capacity`; takes about five minutes. With
+Run as `python -m heathermount.capacity.capacity`; takes about five minutes. With
 `--page` only the page and the plots are made, from the committed measurements.
 """
 
@@ -13,22 +13,22 @@
 import uvloop
 from absl import flags
 
-from heathermount.standins.capacity_calls import (
+from heathermount.capacity.calls import (
     measure_added_latency,
     measure_calls,
     measure_profile,
 )
-from heathermount.standins.capacity_claims import measure_claims
-from heathermount.standins.capacity_config import (
+from heathermount.capacity.claims import measure_claims
+from heathermount.capacity.config import (
     measure_configuration,
     measure_rosters,
 )
-from heathermount.standins.capacity_control import measure_control, measure_ownership
-from heathermount.standins.capacity_links import measure_links
-from heathermount.standins.capacity_page import write_page, write_plots
-from heathermount.standins.capacity_quota import measure_quota
-from heathermount.standins.capacity_records import Recorder, read_measurements
-from heathermount.standins.capacity_services import measure_services
+from heathermount.capacity.control import measure_control, measure_ownership
+from heathermount.capacity.links import measure_links
+from heathermount.capacity.page import write_page, write_plots
+from heathermount.capacity.quota import measure_quota
+from heathermount.capacity.records import Recorder, read_measurements
+from heathermount.capacity.services import measure_services
 from heathermount.standins.commandline import end_on_termination, make_flag_values
 
 __all__ = ["main", "measure_all", "run"]
--- a/src/heathermount/standins/capacity_claims.py
+++ b/src/heathermount/capacity/claims.py
@@ -5,13 +5,13 @@
 from random import Random
 from typing import Final
 
+from heathermount.capacity.quota import TERM_S, make_record
+from heathermount.capacity.records import Recorder
 from heathermount.claims import BodyBudget, ClaimTable
 from heathermount.clocks import ManualClock
 from heathermount.events import EventLog
 from heathermount.invariants import Invariants
 from heathermount.ownership import Partition
-from heathermount.standins.capacity_quota import TERM_S, make_record
-from heathermount.standins.capacity_records import Recorder
 from heathermount.values import Outcome
 from heathermount.wire.messages import Claim, Settle
 
--- a/src/heathermount/standins/capacity_config.py
+++ b/src/heathermount/capacity/config.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any, Final
 
+from heathermount.capacity.records import Recorder
 from heathermount.clocks import SystemClock
 from heathermount.config.documents import (
     Change,
@@ -21,7 +22,6 @@
 from heathermount.invariants import Invariants
 from heathermount.membership import Group, MemberRecord, Roster, RosterRecord
 from heathermount.membership.group import PeerState
-from heathermount.standins.capacity_records import Recorder
 from heathermount.standins.store import FakeStore, StoreState
 from heathermount.wire.control import ConfigurationReply
 
--- a/src/heathermount/standins/capacity_control.py
+++ b/src/heathermount/capacity/control.py
@@ -7,12 +7,12 @@
 import anyio
 import msgspec
 
+from heathermount.capacity.fleets import MeasuredFleet, describe_groups
+from heathermount.capacity.records import ProcessUsage, Recorder
+from heathermount.capacity.services import add_services
 from heathermount.cli.actions import FleetAccess, Node, find_nodes, read_states
-from heathermount.standins.capacity_fleets import MeasuredFleet, describe_groups
-from heathermount.standins.capacity_records import ProcessUsage, Recorder
-from heathermount.standins.capacity_services import add_services
+from heathermount.runner.fleet import SECRET, Member
 from heathermount.standins.connections import Connections
-from heathermount.standins.fleet import SECRET, Member
 from heathermount.store.etcd import EtcdStore
 
 __all__ = ["GROUP_SIZES", "OWNER_TERM_S", "measure_control", "measure_ownership"]
--- a/src/heathermount/standins/capacity_failures.py
+++ b/src/heathermount/capacity/failures.py
@@ -2,10 +2,10 @@
 
 from typing import Final
 
+from heathermount.capacity.model import SIZE, Results
 from heathermount.claims import SLOTS
 from heathermount.membership.directory import MEMBERS_ASKED, MIN_REFRESH_S, REFRESH_S
 from heathermount.membership.group import REMOVE_SPREAD_S
-from heathermount.standins.capacity_model import SIZE, Results
 
 __all__ = ["READ_LIMIT", "WRITE_LIMIT", "add_failures"]
 
--- a/src/heathermount/standins/capacity_fleets.py
+++ b/src/heathermount/capacity/fleets.py
@@ -4,15 +4,15 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
-from heathermount.standins.capacity_records import ProcessUsage, read_usage
-from heathermount.standins.fleet import Fleet
-from heathermount.standins.fleets import (
+from heathermount.capacity.records import ProcessUsage, read_usage
+from heathermount.runner.fleet import Fleet
+from heathermount.runner.fleets import (
     FleetDescription,
     FleetRoute,
     OrganisationDescription,
     ServiceDescription,
 )
-from heathermount.standins.processes import ManagedProcess
+from heathermount.runner.processes import ManagedProcess
 
 __all__ = ["MeasuredFleet", "describe_groups", "describe_profile_command"]
 
--- a/src/heathermount/standins/capacity_limits.py
+++ b/src/heathermount/capacity/limits.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-from heathermount.standins.capacity_text import format_figure, make_rows
+from heathermount.capacity.text import format_figure, make_rows
 
 __all__ = ["LIMITS", "Limit", "make_limits"]
 
--- a/src/heathermount/standins/capacity_links.py
+++ b/src/heathermount/capacity/links.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from heathermount.standins.capacity_records import Recorder, read_usage
+from heathermount.capacity.records import Recorder, read_usage
 from heathermount.wire.handshake import Identity
 from heathermount.wire.link import LinkPool
 from heathermount.wire.messages import (
--- a/src/heathermount/standins/capacity_model.py
+++ b/src/heathermount/capacity/model.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
+from heathermount.capacity.claims import MARGIN_S
+from heathermount.capacity.control import OWNER_TERM_S
+from heathermount.capacity.records import Line, Measurement, fit_line
 from heathermount.claims import SLOTS
 from heathermount.config.documents import RECENT_BYTES
 from heathermount.node.partitions import HOME_SERVICES
-from heathermount.standins.capacity_claims import MARGIN_S
-from heathermount.standins.capacity_control import OWNER_TERM_S
-from heathermount.standins.capacity_records import Line, Measurement, fit_line
 
 __all__ = ["ASSUMPTIONS", "FITS", "SIZE", "Fit", "Results", "extrapolate"]
 
--- a/src/heathermount/standins/capacity_page.py
+++ b/src/heathermount/capacity/page.py
@@ -7,16 +7,16 @@
 
 import matplotlib as mpl
 
-from heathermount.standins.capacity_failures import add_failures
-from heathermount.standins.capacity_limits import make_limits
-from heathermount.standins.capacity_model import (
+from heathermount.capacity.failures import add_failures
+from heathermount.capacity.limits import make_limits
+from heathermount.capacity.model import (
     ASSUMPTIONS,
     FITS,
     Results,
     extrapolate,
 )
-from heathermount.standins.capacity_records import Measurement
-from heathermount.standins.capacity_text import format_figure, format_number, make_rows
+from heathermount.capacity.records import Measurement
+from heathermount.capacity.text import format_figure, format_number, make_rows
 
 __all__ = ["PAGE", "TEMPLATE", "render_page", "write_page", "write_plots"]
 
--- a/src/heathermount/standins/fleet_capacity.py
+++ b/src/heathermount/capacity/policy.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from heathermount.standins.caller import RouteShare
-from heathermount.standins.fleets import FleetDescription, FleetRoute
+from heathermount.runner.caller import RouteShare
+from heathermount.runner.fleets import FleetDescription, FleetRoute
 
 __all__ = ["CostModel", "scale_fleet", "share_capacity"]
 
--- a/src/heathermount/standins/capacity_quota.py
+++ b/src/heathermount/capacity/quota.py
@@ -8,12 +8,12 @@
 import anyio
 import msgspec
 
+from heathermount.capacity.records import Recorder
 from heathermount.clocks import SystemClock
 from heathermount.events import EventLog
 from heathermount.invariants import Invariants
 from heathermount.ownership import OwnerRecord, Partition
 from heathermount.quota import Allocator, Allotment, QuotaClient
-from heathermount.standins.capacity_records import Recorder
 from heathermount.wire.frames import Kind, frame
 from heathermount.wire.messages import TokenReply, TokenRequest
 
--- a/src/heathermount/standins/capacity_services.py
+++ b/src/heathermount/capacity/services.py
@@ -5,8 +5,8 @@
 
 import anyio
 
-from heathermount.standins.capacity_fleets import MeasuredFleet, describe_groups
-from heathermount.standins.capacity_records import Recorder
+from heathermount.capacity.fleets import MeasuredFleet, describe_groups
+from heathermount.capacity.records import Recorder
 
 __all__ = ["DECLARED_SERVICES", "add_services", "measure_services"]
 
--- /dev/null
+++ b/src/heathermount/measurement/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of latency, cost and policy, and their page."""
--- a/src/heathermount/standins/costs.py
+++ b/src/heathermount/measurement/costs.py
@@ -8,14 +8,14 @@
 import anyio
 import msgspec
 
-from heathermount.standins.fleet import Fleet
-from heathermount.standins.fleets import KETTERING
-from heathermount.standins.latency import (
+from heathermount.measurement.latency import (
     LATENCY_FLEET,
     PathResult,
     open_paths,
     run_paths,
 )
+from heathermount.runner.fleet import Fleet
+from heathermount.runner.fleets import KETTERING
 
 __all__ = ["CostResult", "NodeCost", "measure_costs"]
 
--- a/src/heathermount/standins/latency.py
+++ b/src/heathermount/measurement/latency.py
@@ -8,14 +8,14 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from heathermount.standins.connections import Connections
-from heathermount.standins.fleet import Fleet
-from heathermount.standins.fleets import (
+from heathermount.runner.fleet import Fleet
+from heathermount.runner.fleets import (
     FleetDescription,
     FleetRoute,
     OrganisationDescription,
     ServiceDescription,
 )
+from heathermount.standins.connections import Connections
 
 __all__ = ["LATENCY_FLEET", "PathResult", "measure_latency"]
 
--- a/src/heathermount/standins/measure.py
+++ b/src/heathermount/measurement/measure.py
@@ -1,6 +1,6 @@
 """Measures latency, cost and policy, and writes docs/measurements.md from the data.
 
-Run as `python -m heathermount.standins.measure`; a full run takes about an hour.
+Run as `python -m heathermount.measurement.measure`; a full run takes about an hour.
 `--only=page` writes the page from the data that is there.
 """
 
@@ -14,14 +14,14 @@
 import uvloop
 from absl import flags
 
+from heathermount.measurement.costs import CostResult, measure_costs
+from heathermount.measurement.page import write_page
+from heathermount.measurement.policy_runs import append_line, run_policy
+from heathermount.runner.fleet import FleetNotReady
+from heathermount.runner.fleets import CANCELLI, KETTERING, FleetDescription
+from heathermount.runner.profiles import ProfileResult, measure_profile
+from heathermount.runner.scenarios import SCENARIOS, VARIANTS, Scenario
 from heathermount.standins.commandline import end_on_termination, make_flag_values
-from heathermount.standins.costs import CostResult, measure_costs
-from heathermount.standins.fleet import FleetNotReady
-from heathermount.standins.fleets import CANCELLI, KETTERING, FleetDescription
-from heathermount.standins.measurement_page import write_page
-from heathermount.standins.policy_runs import append_line, run_policy
-from heathermount.standins.profiles import ProfileResult, measure_profile
-from heathermount.standins.scenarios import SCENARIOS, VARIANTS, Scenario
 
 __all__ = ["MeasureSettings", "main", "run", "run_measurements"]
 
--- a/src/heathermount/standins/measurement_page.py
+++ b/src/heathermount/measurement/page.py
@@ -13,13 +13,13 @@
 import msgspec
 from matplotlib import pyplot
 
-from heathermount.standins.costs import CostResult
-from heathermount.standins.fleets import CANCELLI, KETTERING
-from heathermount.standins.policy_figures import PolicyResult
-from heathermount.standins.policy_runs import SLOT_FACTOR, TIME_FACTOR
-from heathermount.standins.profiles import ProfileResult
+from heathermount.measurement.costs import CostResult
+from heathermount.measurement.policy_figures import PolicyResult
+from heathermount.measurement.policy_runs import SLOT_FACTOR, TIME_FACTOR
+from heathermount.runner.fleets import CANCELLI, KETTERING
+from heathermount.runner.profiles import ProfileResult
+from heathermount.runner.scenarios import SCENARIOS, VARIANTS
 from heathermount.standins.records import read_lines
-from heathermount.standins.scenarios import SCENARIOS, VARIANTS
 
 __all__ = ["render_page", "write_page"]
 
--- a/src/heathermount/standins/policy_figures.py
+++ b/src/heathermount/measurement/policy_figures.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
-from heathermount.standins.checks import Share
-from heathermount.standins.fleet_capacity import CostModel, share_capacity
-from heathermount.standins.fleets import FleetDescription
-from heathermount.standins.loads import make_mix
+from heathermount.capacity.policy import CostModel, share_capacity
+from heathermount.runner.fleets import FleetDescription
+from heathermount.runner.loads import make_mix
+from heathermount.runner.scenarios import SLOWDOWN, Scenario
+from heathermount.soak.checks import Share
 from heathermount.standins.records import CallResult, RunRecord
-from heathermount.standins.scenarios import SLOWDOWN, Scenario
 
 __all__ = ["PolicyResult", "Request", "evaluate", "measure_slots"]
 
--- a/src/heathermount/standins/policy_runs.py
+++ b/src/heathermount/measurement/policy_runs.py
@@ -7,19 +7,23 @@
 import anyio
 import msgspec
 
+from heathermount.capacity.policy import CostModel, scale_fleet
 from heathermount.clocks import SystemClock
-from heathermount.standins.caller import (
+from heathermount.measurement.policy_figures import (
+    PolicyResult,
+    evaluate,
+    measure_slots,
+)
+from heathermount.runner.caller import (
     Caller,
     CallerSettings,
     OrganisationLoad,
     Surge,
 )
-from heathermount.standins.fleet import Fleet
-from heathermount.standins.fleet_capacity import CostModel, scale_fleet
-from heathermount.standins.fleets import FleetDescription, OrganisationDescription
-from heathermount.standins.loads import make_mix
-from heathermount.standins.policy_figures import PolicyResult, evaluate, measure_slots
-from heathermount.standins.scenarios import SLOWDOWN, Scenario, make_overrides
+from heathermount.runner.fleet import Fleet
+from heathermount.runner.fleets import FleetDescription, OrganisationDescription
+from heathermount.runner.loads import make_mix
+from heathermount.runner.scenarios import SLOWDOWN, Scenario, make_overrides
 
 __all__ = ["SLOT_FACTOR", "TIME_FACTOR", "append_line", "run_policy"]
 
--- /dev/null
+++ b/src/heathermount/runner/__init__.py
@@ -0,0 +1,1 @@
+"""Runs a fleet of real processes on one machine."""
--- a/src/heathermount/standins/caller.py
+++ b/src/heathermount/runner/caller.py
@@ -1,6 +1,6 @@
 """Open-loop load tool: organisations call the entry nodes of a fleet.
 
-Run as `python -m heathermount.standins.caller --config=FILE --results=FILE`.
+Run as `python -m heathermount.runner.caller --config=FILE --results=FILE`.
 """
 
 import sys
@@ -16,6 +16,7 @@
 
 from heathermount.clocks import Clock, SystemClock
 from heathermount.config.checking import TableChecker, load_toml
+from heathermount.runner.summaries import summarise
 from heathermount.standins.commandline import make_flag_values, require_flag
 from heathermount.standins.connections import (
     Connections,
@@ -24,7 +25,6 @@
     RequestNotSent,
 )
 from heathermount.standins.records import CallResult, decode_answer, write_lines
-from heathermount.standins.summaries import summarise
 
 __all__ = [
     "Caller",
--- a/src/heathermount/standins/demo.py
+++ b/src/heathermount/runner/demo.py
@@ -1,7 +1,7 @@
 """Demo: a small fleet serves real calls through a surge, a killed node, a
 configuration change and a withdrawn key.
 
-Run as `python -m heathermount.standins.demo`; it ends by itself in under a
+Run as `python -m heathermount.runner.demo`; it ends by itself in under a
 minute, with an exit code other than zero when a check fails.
 """
 
@@ -17,13 +17,17 @@
 
 from heathermount.clocks import SystemClock
 from heathermount.events import Event, format_event
-from heathermount.standins.caller import (
+from heathermount.runner.caller import (
     Caller,
     CallerSettings,
     RetrySettings,
     Surge,
 )
-from heathermount.standins.checks import (
+from heathermount.runner.fleet import Fleet
+from heathermount.runner.fleets import SMALL
+from heathermount.runner.loads import make_loads, make_shares
+from heathermount.runner.summaries import format_summary, summarise
+from heathermount.soak.checks import (
     RunData,
     Share,
     Violation,
@@ -31,11 +35,7 @@
     check_all,
 )
 from heathermount.standins.commandline import end_on_termination, make_flag_values
-from heathermount.standins.fleet import Fleet
-from heathermount.standins.fleets import SMALL
-from heathermount.standins.loads import make_loads, make_shares
 from heathermount.standins.records import CallResult
-from heathermount.standins.summaries import format_summary, summarise
 
 __all__ = ["main", "run", "run_demo"]
 
--- a/src/heathermount/standins/fleet.py
+++ b/src/heathermount/runner/fleet.py
@@ -16,20 +16,20 @@
 
 from heathermount.clocks import Clock, SystemClock
 from heathermount.events import Event, EventLog, merge_events
+from heathermount.runner.descriptions import ServerDescription
+from heathermount.runner.fleets import (
+    FleetDescription,
+    ServiceDescription,
+    make_declaration,
+)
+from heathermount.runner.operators import Operator, StoreOperator
+from heathermount.runner.processes import ManagedProcess, PortReservation
 from heathermount.standins.connections import (
     Connections,
     HttpAnswer,
     RequestBroken,
     RequestNotSent,
 )
-from heathermount.standins.descriptions import ServerDescription
-from heathermount.standins.fleets import (
-    FleetDescription,
-    ServiceDescription,
-    make_declaration,
-)
-from heathermount.standins.operators import Operator, StoreOperator
-from heathermount.standins.processes import ManagedProcess, PortReservation
 from heathermount.standins.records import RunRecord, read_run_records
 
 __all__ = ["Fleet", "FleetNotReady", "Member"]
--- a/src/heathermount/standins/fleets.py
+++ b/src/heathermount/runner/fleets.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from heathermount.standins.descriptions import DeeperCall, RouteDescription
+from heathermount.runner.descriptions import DeeperCall, RouteDescription
 
 __all__ = [
     "CANCELLI",
--- a/src/heathermount/standins/loads.py
+++ b/src/heathermount/runner/loads.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Mapping
 
-from heathermount.standins.caller import OrganisationLoad, RouteShare
-from heathermount.standins.checks import Share
-from heathermount.standins.fleets import FleetDescription
+from heathermount.runner.caller import OrganisationLoad, RouteShare
+from heathermount.runner.fleets import FleetDescription
+from heathermount.soak.checks import Share
 
 __all__ = ["make_loads", "make_mix", "make_shares"]
 
--- a/src/heathermount/standins/profiles.py
+++ b/src/heathermount/runner/profiles.py
@@ -10,13 +10,13 @@
 
 import msgspec
 
-from heathermount.standins.fleet import Fleet
-from heathermount.standins.latency import (
+from heathermount.measurement.latency import (
     LATENCY_FLEET,
     Path as CallPath,
     run_paths,
 )
-from heathermount.standins.processes import ManagedProcess
+from heathermount.runner.fleet import Fleet
+from heathermount.runner.processes import ManagedProcess
 
 __all__ = ["ProfileResult", "measure_profile"]
 
--- a/src/heathermount/standins/scenarios.py
+++ b/src/heathermount/runner/scenarios.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from heathermount.standins.caller import RetrySettings
+from heathermount.runner.caller import RetrySettings
 
 __all__ = [
     "MECHANISMS",
--- /dev/null
+++ b/src/heathermount/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of a fleet under faults, and the checks of its guarantees."""
--- a/src/heathermount/standins/checks.py
+++ b/src/heathermount/soak/checks.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from heathermount.standins.rates import Spending, worst_excess
+from heathermount.runner.rates import Spending, worst_excess
 from heathermount.standins.records import CallResult, RunOutcome, RunRecord
 from heathermount.values import Outcome
 
--- a/src/heathermount/standins/faults.py
+++ b/src/heathermount/soak/faults.py
@@ -15,16 +15,16 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from heathermount.standins.caller import (
+from heathermount.runner.caller import (
     CallerSettings,
     OrganisationLoad,
     RetrySettings,
     RouteShare,
     run_calls,
 )
-from heathermount.standins.checks import Drain, Violation, Withdrawal
-from heathermount.standins.fleet import Fleet, FleetNotReady, Member
-from heathermount.standins.loads import make_mix
+from heathermount.runner.fleet import Fleet, FleetNotReady, Member
+from heathermount.runner.loads import make_mix
+from heathermount.soak.checks import Drain, Violation, Withdrawal
 from heathermount.standins.records import CallResult
 
 __all__ = ["FAULTS", "OLDER_STORE", "SoakState", "wait_healed"]
--- a/src/heathermount/standins/soak.py
+++ b/src/heathermount/soak/soak.py
@@ -1,6 +1,6 @@
 """Soak run: calls for a long time under random faults, then all checks.
 
-Run as `python -m heathermount.standins.soak --seed=N --seconds=N`; prints one
+Run as `python -m heathermount.soak.soak --seed=N --seconds=N`; prints one
 JSON line and exits with 1 on any violation.
 """
 
@@ -17,15 +17,15 @@
 
 from heathermount.clocks import SystemClock
 from heathermount.events import format_event
-from heathermount.standins.caller import Caller, CallerSettings, RetrySettings
-from heathermount.standins.checks import RunData, Violation, check_all
+from heathermount.runner.caller import Caller, CallerSettings, RetrySettings
+from heathermount.runner.fleet import Fleet
+from heathermount.runner.fleets import CANCELLI, KETTERING, SMALL
+from heathermount.runner.loads import make_loads, make_shares
+from heathermount.runner.summaries import Summary, summarise
+from heathermount.soak.checks import RunData, Violation, check_all
+from heathermount.soak.faults import FAULTS, OLDER_STORE, SoakState, wait_healed
 from heathermount.standins.commandline import end_on_termination, make_flag_values
-from heathermount.standins.faults import FAULTS, OLDER_STORE, SoakState, wait_healed
-from heathermount.standins.fleet import Fleet
-from heathermount.standins.fleets import CANCELLI, KETTERING, SMALL
-from heathermount.standins.loads import make_loads, make_shares
 from heathermount.standins.records import CallResult, write_lines
-from heathermount.standins.summaries import Summary, summarise
 
 __all__ = ["SoakReport", "SoakSettings", "main", "run", "run_soak"]
 
--- a/src/heathermount/standins/serving.py
+++ b/src/heathermount/standins/serving.py
@@ -12,6 +12,12 @@
 import msgspec
 
 from heathermount.clocks import Clock
+from heathermount.runner.descriptions import (
+    Behaviour,
+    DeeperCall,
+    RouteDescription,
+    ServerDescription,
+)
 from heathermount.standins.connections import (
     Connections,
     RequestBroken,
@@ -22,12 +28,6 @@
     make_deeper_body,
     take_deeper_answer,
 )
-from heathermount.standins.descriptions import (
-    Behaviour,
-    DeeperCall,
-    RouteDescription,
-    ServerDescription,
-)
 from heathermount.standins.exchange import (
     Receive,
     Reply,
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -6,13 +6,13 @@
 
 import anyio
 
+from heathermount.runner.fleet import Fleet
 from heathermount.standins.connections import (
     Connections,
     HttpAnswer,
     RequestBroken,
     RequestNotSent,
 )
-from heathermount.standins.fleet import Fleet
 from heathermount.standins.records import RunRecord
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,6 +8,8 @@
 import anyio
 import pytest
 
+from heathermount.capacity.page import PAGE, TEMPLATE, render_page
+from heathermount.capacity.records import fit_line, read_measurements
 from heathermount.clocks import ManualClock
 from heathermount.config.documents import FleetDocument
 from heathermount.config.policy import Policy
@@ -21,8 +23,6 @@
     roster_key,
 )
 from heathermount.node.partitions import HomeServices
-from heathermount.standins.capacity_page import PAGE, TEMPLATE, render_page
-from heathermount.standins.capacity_records import fit_line, read_measurements
 from heathermount.standins.store import FakeStore, StoreState
 from heathermount.values import Importance
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,9 +8,9 @@
 import pytest
 
 from builders_fleet import Client, make_uuid7_at, reason_of, runs_of, wait_for
+from heathermount.runner.fleet import Fleet
+from heathermount.runner.fleets import SMALL
 from heathermount.standins.connections import HttpAnswer
-from heathermount.standins.fleet import Fleet
-from heathermount.standins.fleets import SMALL
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_measurements.py
+++ b/tests/test_measurements.py
@@ -4,18 +4,18 @@
 
 import pytest
 
-from heathermount.standins.fleet_capacity import CostModel, scale_fleet, share_capacity
-from heathermount.standins.fleets import CANCELLI, KETTERING, FleetDescription
-from heathermount.standins.loads import make_mix
-from heathermount.standins.measurement_page import render_page
-from heathermount.standins.policy_figures import (
+from heathermount.capacity.policy import CostModel, scale_fleet, share_capacity
+from heathermount.measurement.page import render_page
+from heathermount.measurement.policy_figures import (
     Request,
     find_recovery,
     worst_ratio,
     wrongful_share,
 )
+from heathermount.runner.fleets import CANCELLI, KETTERING, FleetDescription
+from heathermount.runner.loads import make_mix
+from heathermount.runner.scenarios import SCENARIOS
 from heathermount.standins.records import CallResult
-from heathermount.standins.scenarios import SCENARIOS
 
 DOCS = Path(__file__).resolve().parents[1] / "docs"
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -14,8 +14,7 @@
 
 from builders_standins import make_result, make_server_description
 from heathermount.clocks import ManualClock, SystemClock
-from heathermount.standins.backend import ServerHost
-from heathermount.standins.caller import (
+from heathermount.runner.caller import (
     Caller,
     CallerSettings,
     OrganisationLoad,
@@ -25,22 +24,24 @@
     make_uuid7,
     schedule_calls,
 )
+from heathermount.runner.descriptions import (
+    BackendSettings,
+    DeeperCall,
+    RouteDescription,
+    ServerDescription,
+)
+from heathermount.runner.fleet import count_logged_violations, parse_metrics
+from heathermount.runner.fleets import CANCELLI, KETTERING, SMALL, make_declaration
+from heathermount.runner.processes import ManagedProcess, PortReservation
+from heathermount.runner.summaries import summarise
+from heathermount.standins.backend import ServerHost
 from heathermount.standins.connections import (
     Connections,
     HttpAnswer,
     RequestBroken,
     RequestNotSent,
 )
-from heathermount.standins.descriptions import (
-    BackendSettings,
-    DeeperCall,
-    RouteDescription,
-    ServerDescription,
-)
 from heathermount.standins.exchange import Request
-from heathermount.standins.fleet import count_logged_violations, parse_metrics
-from heathermount.standins.fleets import CANCELLI, KETTERING, SMALL, make_declaration
-from heathermount.standins.processes import ManagedProcess, PortReservation
 from heathermount.standins.records import (
     RunOutcome,
     RunRecord,
@@ -50,7 +51,6 @@
     read_run_records,
 )
 from heathermount.standins.serving import HEALTH_PATH, LOAD_PATH, BackendServer
-from heathermount.standins.summaries import summarise
 
 DEADLINE_S = 10.0
 TEST_ID = (b"x-test-id", b"run.cart-1.0")
--- a/tests/test_standins_checks.py
+++ b/tests/test_standins_checks.py
@@ -6,9 +6,9 @@
 import pytest
 
 from builders_standins import make_result, make_run
-from heathermount.standins import checks
-from heathermount.standins.checks import Drain, RunData, Share, Withdrawal
-from heathermount.standins.rates import Spending, worst_excess
+from heathermount.runner.rates import Spending, worst_excess
+from heathermount.soak import checks
+from heathermount.soak.checks import Drain, RunData, Share, Withdrawal
 from heathermount.standins.records import DeeperResult, RunOutcome
 
 ORDER = {"method": "POST", "path": "/orders/restock", "idempotency_key": "k"}
