Stop tracking what the deploy build installs

Cause: target/, into which deploy/system.toml installs the libraries, was not ignored and was committed with the sources.

--- a/target/deps/msgspec/_typing_utils.pyi
+++ /dev/null
@@ -1,6 +0,0 @@
-from typing_extensions import TypeIs
-
-from . import Struct
-
-def is_struct(obj: object) -> TypeIs[Struct]: ...
-def is_struct_type(tp: object) -> TypeIs[type[Struct]]: ...
--- a/target/deps/prometheus_client/django/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-from .exposition import PrometheusDjangoView
-
-__all__ = [
-    "PrometheusDjangoView",
-]
--- a/target/deps/prometheus_client/twisted/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from ._exposition import MetricsResource
-
-__all__ = ['MetricsResource']
--- a/target/deps/uvloop/_noop.py
+++ /dev/null
@@ -1,3 +0,0 @@
-def noop() -> None:
-    """Empty function to invoke CPython ceval loop."""
-    return
--- a/target/deps/uvloop/includes/debug.pxd
+++ /dev/null
@@ -1,3 +0,0 @@
-cdef extern from "includes/debug.h":
-
-    cdef int UVLOOP_DEBUG
