Give repeats, configuration reads and reloads modules of their own

Change: gateway/repeats, gateway/following and gateway/reloading; no behaviour. Measured: the tests pass unchanged, with one more for reloads.

--- a/src/heathermount/gateway/entry.py
+++ b/src/heathermount/gateway/entry.py
@@ -31,6 +31,7 @@
 from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.quota import QuotaShares
 from heathermount.gateway.refusals import make_refusal, refusal_of, response_of
+from heathermount.gateway.repeats import SERVER_ERROR, Call, Repeats, judge_answer
 from heathermount.routing.balancer import Balancer, NoServer
 from heathermount.routing.members import Member
 from heathermount.routing.resends import fingerprint
@@ -52,72 +53,13 @@
 # Longest wait for the first connection to a peer, in seconds.
 CONNECT_WAIT_S: Final = 0.5
 
-SERVER_ERROR: Final = 500
-
-# A request is run again only if this share of its objective is left.
-REPEAT_SHARE: Final = 0.5
-
-# Share of the repeat budget that calls of servers leave to clients' requests:
-# these need one success, a chain of calls needs all of its calls to succeed.
-CALL_RESERVE: Final = 0.5
-
-# Attempts that cost no server anything, for one request.
-FREE_ATTEMPTS: Final = 3
-FREE_REASONS: Final = frozenset(
-    {Reason.DRAINING, Reason.NO_SERVER, Reason.CONFIGURATION_STALE}
-)
-
-
-class Call:
-    """One request on its way to a server."""
-
-    __slots__ = (
-        "deadline",
-        "free",
-        "maybe_ran",
-        "message",
-        "organisation",
-        "parent",
-        "route",
-        "sends",
-        "tried",
-    )
-
-    def __init__(
-        self,
-        route: RouteEntry,
-        organisation: OrganisationEntry | None,
-        message: Execute,
-        deadline: float,
-        parent: RunContext | None,
-    ) -> None:
-        # The request of the local server that made this call, if known.
-        self.parent = parent
-        self.route = route
-        self.organisation = organisation
-        self.message = message
-        # Monotonic time at which the client must have an answer.
-        self.deadline = deadline
-        self.tried: set[str] = set()
-        self.free = FREE_ATTEMPTS
-        # Sends that reached a server.
-        self.sends = 0
-        # True once an attempt ended without proof that it did not run.
-        self.maybe_ran = False
-
-    @property
-    def outcome(self) -> Outcome:
-        return Outcome.UNKNOWN if self.maybe_ran else Outcome.NOT_RUN
-
 
 class Entry:
     """Takes requests from clients and from the local backend server."""
 
     __slots__ = (
-        "_answered_routes",
         "_balancer",
         "_budget",
-        "_calling_routes",
         "_clock",
         "_dialect",
         "_dropped_headers",
@@ -130,6 +72,7 @@
         "_node",
         "_quota",
         "_random",
+        "_repeats",
         "_service",
         "_thresholds",
         "_tracker",
@@ -161,13 +104,11 @@
         self._tracker = tracker
         self._quota = quota
         self._budget = budget
+        self._repeats = Repeats(budget, clock, metrics)
         self._balancer = balancer
         self._links = links
         self._thresholds = thresholds
         self._execute_here = execute_here
-        # Routes whose requests make calls, and routes that were answered.
-        self._calling_routes: set[str] = set()
-        self._answered_routes: set[str] = set()
         # Finds the running request of the local server that made a call.
         self._find_parent = find_parent
         self._fair_cohorts = FairCohorts(clock)
@@ -367,16 +308,16 @@
             if call.parent is not None:
                 call.parent.observe(answer.thresholds)
             if answer.sent and not answer.crashed:
-                self._learn_calls(call.route.name, answer.calls)
+                self._repeats.learn_calls(call.route.name, answer.calls)
             if answer.sent:
                 call.sends += 1
                 if call.sends == 1 and call.organisation is not None:
                     self._budget.sent(message.service)
-            if not answer.reason and not self._may_run_again(call, answer):
+            if not answer.reason and not self._repeats.may_run_again(call, answer):
                 return answer
             if answer.outcome != Outcome.NOT_RUN:
                 call.maybe_ran = True
-            if answer.reason and not self._may_repeat(call, answer):
+            if answer.reason and not self._repeats.may_repeat(call, answer):
                 refusal = refusal_of(answer)
                 raise make_refusal(refusal.reason, call.outcome, refusal.retry_after_s)
 
@@ -453,7 +394,7 @@
         except TimeoutError:
             return Answer(504, [], b"", Outcome.UNKNOWN, Reason.DEADLINE, sent=True)
         finally:
-            success = judge(answer) if failed is None else False
+            success = judge_answer(answer) if failed is None else False
             self._balancer.finished(
                 member, success, answer.load if answer is not None else None
             )
@@ -484,76 +425,7 @@
             raise PeerLost(f"{member.node} sent another message than an answer")
         return answer
 
-    def _learn_calls(self, route: str, calls: int) -> None:
-        if calls:
-            self._calling_routes.add(route)
-        else:
-            self._answered_routes.add(route)
-
-    def _may_run_again(self, call: Call, answer: Answer) -> bool:
-        """Decide whether to run a request again that has run or may have.
-
-        Only an idempotent request that makes no calls: it is the cheapest
-        place to repeat, and a repeat there saves the work of the whole chain
-        above it. Others are left to the client, because a repeated run repeats
-        all calls below it.
-        """
-        if not answer.reason and answer.status < SERVER_ERROR:
-            return False
-        if not call.message.idempotent or answer.calls:
-            return False
-        route = call.route.name
-        if route in self._calling_routes or route not in self._answered_routes:
-            return False
-        if call.sends >= call.route.max_attempts:
-            return False
-        remaining_s = call.deadline - self._clock.monotonic()
-        if remaining_s < REPEAT_SHARE * call.route.objective_s:
-            return False
-        return self._take_repeat(call)
-
-    def _take_repeat(self, call: Call) -> bool:
-        reserve = CALL_RESERVE if call.organisation is None else 0.0
-        taken = self._budget.take(call.message.service, reserve)
-        self._metrics.count("repeats", "sent" if taken else "over-budget")
-        return taken
-
-    def _may_repeat(self, call: Call, answer: Answer) -> bool:
-        """Decide whether to send a request to another server.
-
-        With proof that it has not run, an attempt that cost no server anything
-        is free and one that reached a server draws on the budget.
-        """
-        if answer.outcome != Outcome.NOT_RUN:
-            if answer.reason == Reason.DEADLINE:
-                return False
-            return self._may_run_again(call, answer)
-        if not answer.sent:
-            if answer.reason not in FREE_REASONS or call.free < 1:
-                return False
-            call.free -= 1
-            return True
-        if call.sends >= call.route.max_attempts:
-            return False
-        return self._take_repeat(call)
-
 
 def cohort_of(request_id: bytes) -> int:
     """Return the cohort of a request: a hash of its identifier."""
     return blake2b(request_id, digest_size=1).digest()[0] % COHORTS
-
-
-def judge(answer: Answer | None) -> bool | None:
-    """Tell whether an answer speaks for its server; None if it tells nothing."""
-    if answer is None:
-        return None
-    if answer.call_failed:
-        # The fault is in a service below.
-        return None
-    if not answer.reason:
-        return answer.status < SERVER_ERROR
-    if answer.reason in (Reason.SERVER_FAILED, Reason.ANSWER_BROKEN, Reason.NO_SERVER):
-        return False
-    if answer.reason == Reason.SHED:
-        return not answer.sent
-    return None if answer.reason == Reason.DEADLINE else True
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -4,24 +4,26 @@
 import secrets
 import time
 from collections.abc import Callable, Coroutine
-from pathlib import Path
 from random import Random
-from typing import Any, Final, Protocol, Self
+from typing import Any, Final, Self
 
 from absl import logging
 
 from heathermount.admission import ThresholdTable
 from heathermount.clocks import Clock
 from heathermount.config.durations import parse_duration
-from heathermount.errors import PeerUnreachable, StoreOutcomeUnknown, StoreUnavailable
+from heathermount.errors import PeerUnreachable
 from heathermount.events import EventLog
 from heathermount.gateway.budget import RepeatBudget
 from heathermount.gateway.configuration import ConfigurationTracker
 from heathermount.gateway.decisions import DecisionLog
 from heathermount.gateway.dialect import Dialect
-from heathermount.gateway.document import GatewayDocument
 from heathermount.gateway.entry import Entry
 from heathermount.gateway.execution import Execution, RunContext
+from heathermount.gateway.following import (
+    ConfigurationFollower,
+    ConfigurationReader,
+)
 from heathermount.gateway.http import (
     Handler,
     HttpConnection,
@@ -40,33 +42,24 @@
 )
 from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.quota import QuotaShares
-from heathermount.gateway.registry import NodeRecord, Registry, ServerRecord
+from heathermount.gateway.registry import (
+    NodeRecord,
+    Registry,
+    ServerRecord,
+    make_member,
+)
 from heathermount.gateway.settings import GatewaySettings
 from heathermount.invariants import Invariants
 from heathermount.routing.balancer import Balancer
 from heathermount.routing.members import Member
 from heathermount.routing.quarantine import Quarantine
-from heathermount.store.interface import HistoryLost, WatchedStore
+from heathermount.store.interface import WatchedStore
 
 __all__ = ["ConfigurationReader", "GatewayNode"]
 
-# Longest wait of a watch of the configuration, in seconds. It only brings changes
-# early: proofs that nothing changed come from reads, which no dropped history
-# can mislead.
-WATCH_S: Final = 20.0
-
-# Period of the reads of a node that reads for the others, in seconds, and the
-# share of the freshness bound at whose age any node reads for itself. Peers pass
-# proofs on with every ping.
-READ_S: Final = 1.0
-OWN_READ_SHARE: Final = 0.65
-
 # Time after which a node offers a version to peers that are behind, in seconds.
 OFFER_AFTER_S: Final = 0.7
 
-# Nodes of each failure domain that read for the others.
-READERS_PER_DOMAIN: Final = 1
-
 # Share of the revocation bound for which a proof counts. The rest covers the
 # delivery of a request and what the store's watches may miss for a second.
 FRESHNESS_SHARE: Final = 0.7
@@ -83,9 +76,6 @@
 # Pause between looks whether anything still runs, in seconds.
 POLL_S: Final = 0.05
 
-# Period at which the settings file is compared with what was read, in seconds.
-SETTINGS_POLL_S: Final = 2.0
-
 METRICS_PATH: Final = b"/metrics"
 METRICS_HEADERS: Final = [(b"content-type", b"text/plain; version=0.0.4")]
 
@@ -94,23 +84,6 @@
 TOKEN_TIMEOUT_S: Final = 0.25
 
 
-class ConfigurationReader(Protocol):
-    """Reads the operators' configuration from the store."""
-
-    async def read(self) -> tuple[GatewayDocument | None, int]:
-        """Return the newest configuration and the store's revision.
-
-        The configuration is None when it is invalid, missing or unchanged
-        since the last call.
-        """
-
-    async def wait(self, after: int, wait_s: float) -> tuple[bool, int]:
-        """Wait for a change; return whether there was one, and the revision.
-
-        Raises HistoryLost when the store cannot tell.
-        """
-
-
 class GatewayNode:
     """One process beside one backend server."""
 
@@ -121,6 +94,7 @@
         "_clock",
         "_dialect",
         "_entry",
+        "_follower",
         "_links",
         "_log",
         "_metrics",
@@ -128,7 +102,6 @@
         "_peers",
         "_quarantine",
         "_quota",
-        "_reader",
         "_servers",
         "_services",
         "_settings",
@@ -151,7 +124,6 @@
     ) -> None:
         node = settings.node
         self._settings = settings
-        self._reader = reader
         self._dialect = dialect
         self._clock = clock
         log = DecisionLog(clock)
@@ -214,6 +186,9 @@
             self._nodes_changed,
             lambda other: self._links.usable(other.address),
         )
+        self._follower = ConfigurationFollower(
+            reader, self._tracker, self.registry, clock
+        )
         self._services: set[str] = set()
         self._clients: set[HttpConnection] = set()
         self._observers: set[HttpConnection] = set()
@@ -236,17 +211,8 @@
         """Begin a graceful stop."""
         self._stopping.set()
 
-    def reload(self, path: str) -> None:
-        """Take over the bounds of changed settings; the rest needs a new start.
-
-        An invalid file changes nothing.
-        """
-        try:
-            settings = GatewaySettings.from_file(path)
-        except ExceptionGroup as problems:
-            for problem in problems.exceptions:
-                logging.error('event=settings-invalid error="%s"', problem)
-            return
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Take over the bounds of changed settings; the rest needs a new start."""
         logging.info("event=settings-reloaded")
         self._settings.bounds = settings.bounds
         self._tracker.freshness_s = FRESHNESS_SHARE * parse_duration(
@@ -264,17 +230,6 @@
         for peer in list(self._peers):
             peer.close()
 
-    async def watch_settings(self, path: str) -> None:
-        """Take over changes of the settings file that come without a signal."""
-        known = read_settings_bytes(path)
-        while True:
-            await asyncio.sleep(SETTINGS_POLL_S)
-            found = read_settings_bytes(path)
-            if found == known:
-                continue
-            known = found
-            self.reload(path)
-
     async def run(self, control: Handler) -> None:
         """Serve until `stop`, then finish what runs; `control` takes heartbeats."""
         logging.info(
@@ -288,8 +243,8 @@
             for loop in (
                 self.registry.maintain,
                 self.registry.follow,
-                self._watch_configuration,
-                self._prove_configuration,
+                self._follower.watch,
+                self._follower.prove,
             )
         ]
         await self._stopping.wait()
@@ -456,69 +411,6 @@
         for address in addresses:
             self._links.get(address)
 
-    # Configuration.
-
-    async def _watch_configuration(self) -> None:
-        """Take changes of the configuration as soon as the store tells them."""
-        revision = 0
-        while True:
-            try:
-                if not revision:
-                    revision = await self._read_configuration()
-                changed, revision = await self._reader.wait(revision, WATCH_S)
-                if changed:
-                    revision = await self._read_configuration()
-            except HistoryLost:
-                revision = 0
-            except (StoreUnavailable, StoreOutcomeUnknown) as error:
-                # A watch that was cut may have missed changes.
-                revision = 0
-                self._log_unreadable(error)
-                await asyncio.sleep(RETRY_S)
-
-    async def _prove_configuration(self) -> None:
-        """Prove from time to time that this node's configuration is current."""
-        while True:
-            own_read_s = OWN_READ_SHARE * self._tracker.freshness_s
-            age_s = READ_S if self._reads_for_others() else own_read_s
-            due_s = age_s - self._tracker.age_s()
-            if due_s > 0.0:
-                await asyncio.sleep(due_s)
-                continue
-            try:
-                await self._read_configuration()
-            except (StoreUnavailable, StoreOutcomeUnknown) as error:
-                self._log_unreadable(error)
-                await asyncio.sleep(RETRY_S)
-
-    async def _read_configuration(self) -> int:
-        """Read the configuration; return the revision to watch from."""
-        asked_at = self._clock.monotonic()
-        document, revision = await self._reader.read()
-        if document is not None:
-            self._tracker.apply(document, "store")
-        self._tracker.confirm(asked_at)
-        return revision
-
-    def _reads_for_others(self) -> bool:
-        """Tell whether this node is among the readers of its failure domain."""
-        node = self._settings.node
-        names = sorted(
-            record.node
-            for record in self.registry.nodes.values()
-            if record.failure_domain == node.failure_domain
-        )
-        return node.name in names[:READERS_PER_DOMAIN]
-
-    def _log_unreadable(self, error: Exception) -> None:
-        logging.log_every_n_seconds(
-            logging.WARNING,
-            'event=configuration-unreadable age_s=%.2f error="%s"',
-            1,
-            self._tracker.age_s(),
-            error,
-        )
-
     # Stop.
 
     async def _drain(self) -> None:
@@ -556,25 +448,3 @@
         except Exception:
             logging.exception("event=background-failed")
             await asyncio.sleep(RETRY_S)
-
-
-def read_settings_bytes(path: str) -> bytes:
-    try:
-        return Path(path).read_bytes()
-    except OSError as error:
-        logging.error('event=settings-unreadable error="%s"', error)
-        return b""
-
-
-def make_member(record: NodeRecord) -> Member:
-    server = record.server
-    assert server is not None
-    return Member(
-        record.node,
-        f"{record.incarnation}/{server.server_id}",
-        record.address,
-        record.failure_domain,
-        server.slots,
-        server.cold_start_s,
-        server.joined_at,
-    )
--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -9,9 +9,16 @@
 
 from heathermount.clocks import Clock
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
+from heathermount.routing.members import Member
 from heathermount.store.interface import HistoryLost, WatchedStore
 
-__all__ = ["NODES_PREFIX", "NodeRecord", "Registry", "ServerRecord"]
+__all__ = [
+    "NODES_PREFIX",
+    "NodeRecord",
+    "Registry",
+    "ServerRecord",
+    "make_member",
+]
 
 NODES_PREFIX: Final = "nodes/"
 
@@ -250,3 +257,18 @@
         self._missing_since.pop(node, None)
         if self.nodes.pop(node, None) is not None:
             logging.info("event=node-left peer=%s", node)
+
+
+def make_member(record: NodeRecord) -> Member:
+    """Return the member of a node whose backend server is announced."""
+    server = record.server
+    assert server is not None
+    return Member(
+        record.node,
+        f"{record.incarnation}/{server.server_id}",
+        record.address,
+        record.failure_domain,
+        server.slots,
+        server.cold_start_s,
+        server.joined_at,
+    )
--- a/src/heathermount/platform/daemon.py
+++ b/src/heathermount/platform/daemon.py
@@ -11,6 +11,7 @@
 
 from heathermount.clocks import SystemClock
 from heathermount.gateway import GatewayNode, GatewaySettings
+from heathermount.gateway.reloading import SettingsReloader
 from heathermount.platform.dialect import PlatformDialect
 from heathermount.platform.heartbeats import HeartbeatListener
 from heathermount.platform.operator import PlatformConfigurationReader
@@ -36,8 +37,9 @@
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, node.stop)
-    loop.add_signal_handler(signal.SIGHUP, node.reload, path)
-    watching = loop.create_task(node.watch_settings(path))
+    reloader = SettingsReloader(path, node.apply_settings)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    watching = loop.create_task(reloader.watch())
     heartbeats = HeartbeatListener(node.execution, settings.node.service)
     await node.run(heartbeats.handle)
     watching.cancel()
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -1,10 +1,13 @@
 """Settings of gateway nodes are checked in full before anything starts."""
 
 import copy
+from pathlib import Path
 from typing import Any
 
 import pytest
+import tomli_w
 
+from heathermount.gateway.reloading import SettingsReloader
 from heathermount.gateway.settings import GatewaySettings
 
 VALID: dict[str, Any] = {
@@ -60,3 +63,19 @@
         GatewaySettings.from_config(config, "node.toml")
     (found,) = caught.value.exceptions
     assert problem in str(found)
+
+
+def test_reloads_a_changed_file_and_ignores_an_invalid_one(tmp_path: Path) -> None:
+    """Guards against a node that ends or changes its bounds by a broken file."""
+    path = tmp_path / "node.toml"
+    path.write_bytes(tomli_w.dumps(VALID).encode())
+    applied: list[GatewaySettings] = []
+    reloader = SettingsReloader(str(path), applied.append)
+    path.write_text("[node")
+    reloader.reload()
+    path.unlink()
+    reloader.reload()
+    assert not applied
+    path.write_bytes(tomli_w.dumps(VALID | {"bounds": {"grace": "9s"}}).encode())
+    reloader.reload()
+    assert applied[0].bounds.grace == "9s"
