--- a/src/heathermount/gateway/entry.py
+++ b/src/heathermount/gateway/entry.py
@@ -157,7 +157,8 @@
         if policy is None:
             raise make_refusal(Reason.STARTING, Outcome.NOT_RUN)
         dialect = self._dialect
-        host, path, request_id, waits, keys = b"", request.target, b"", b"", []
+        host = request_id = waits = b""
+        keys = []
         headers = []
         for header in request.headers:
             name, value = header
@@ -172,7 +173,7 @@
             if name not in self._dropped_headers:
                 headers.append(header)
         headers.append((dialect.caller_service, self._service))
-        route = self._match(policy, host, path)
+        route = self._match(policy, host, request.target)
         organisation, digest = self._authenticate(policy, route, keys)
         wait_s = dialect.read_deadline(waits) if waits else None
         if wait_s is None:
@@ -203,7 +204,6 @@
             importance=importance,
             cohort=cohort,
             deadline_s=0.0,
-            patience_s=0.0,
             idempotent=route.idempotent,
             version=policy.version,
             fingerprint=fingerprint(
@@ -358,7 +358,6 @@
         if remaining_s <= TRAVEL_S:
             raise make_refusal(Reason.DEADLINE, call.outcome)
         message.deadline_s = remaining_s - TRAVEL_S
-        message.patience_s = message.deadline_s
         self._balancer.started(member)
         answer: Answer | None = None
         failed: bool | None = None
@@ -374,7 +373,6 @@
             refusal = make_refusal(
                 Reason.SERVER_FAILED if error.sent else Reason.NO_SERVER, outcome
             )
-            crashed = error.sent
             self._log.record(
                 "peer-failed",
                 request=message.request_id.decode("latin-1"),
@@ -388,8 +386,8 @@
                 b"",
                 outcome,
                 refusal.reason,
-                sent=crashed,
-                crashed=crashed,
+                sent=error.sent,
+                crashed=error.sent,
             )
         except TimeoutError:
             return Answer(504, [], b"", Outcome.UNKNOWN, Reason.DEADLINE, sent=True)
@@ -403,7 +401,8 @@
         async with asyncio.timeout(remaining_s):
             if message.idempotent:
                 return await self._execute_here(message)
-            # A run that may not be repeated goes on when its client leaves.
+            # A run that may not be repeated goes on when its client leaves: to
+            # break it off would leave its effect unknown.
             run = asyncio.ensure_future(self._execute_here(message))
             return await asyncio.shield(run)
 
--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -277,14 +277,13 @@
         admission = self.admission
         if admission is None or message.service != self._service or self.silent:
             raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
-        patience = self._clock.monotonic() + message.patience_s
         ticket = Ticket(
             message.request_id.decode("latin-1"),
             message.organisation or message.account,
             1,
             message.importance,
             message.cohort,
-            min(deadline, patience),
+            deadline,
         )
         queued_at = self._clock.monotonic()
         permit = await admission.admit(ticket)
--- a/src/heathermount/gateway/messages.py
+++ b/src/heathermount/gateway/messages.py
@@ -41,8 +41,6 @@
     cohort: int
     # Remaining time when the message was sent, in seconds.
     deadline_s: float
-    # Longest useful wait in the queue, in seconds.
-    patience_s: float
     idempotent: bool
     version: int
     # What equal requests of one organisation have in common.
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -167,7 +167,6 @@
         "importance": 1,
         "cohort": 0,
         "deadline_s": 1.0,
-        "patience_s": 1.0,
         "idempotent": True,
         "version": 1,
         "fingerprint": b"f-1",
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -190,7 +190,7 @@
         execution = make_execution(clock, make_tracker(clock))
         execution.announce(make_announcement(server.address, slots=1))
         calls = [
-            execution.execute(make_execute(b"r-%d" % i, deadline_s=0.4, patience_s=0.4))
+            execution.execute(make_execute(b"r-%d" % i, deadline_s=0.4))
             for i in range(30)
         ]
         answers = await asyncio.gather(*calls)
