--- a/src/heathermount/gateway/quota.py
+++ b/src/heathermount/gateway/quota.py
@@ -225,7 +225,8 @@
         """
         own_rate = organisation.rate / len(self._nodes)
         refused = demand.refuse(self._clock.monotonic())
-        return min(MAX_WAIT_S, refused / own_rate)
+        # A single refusal means a short gap, which the next token closes.
+        return min(MAX_WAIT_S, (refused - 1.0) / own_rate)
 
     def give_back(self, organisation: OrganisationEntry) -> None:
         """Return the token of a request that did not run."""
