Keep a slot in twenty free at each backend server

Some servers slow down when they are nearly full; the adaptive limit only reacts to service time that doubles. Change: the limit is capped just below 0.95 of the announced slots, for servers with ten slots or more. The announcement moves to a module of its own.

--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -5,7 +5,6 @@
 from random import Random
 from typing import Final
 
-import msgspec
 from absl import logging
 
 from heathermount.admission import (
@@ -21,6 +20,7 @@
 from heathermount.config.settings import PolicySettings
 from heathermount.errors import Refusal
 from heathermount.events import EventLog
+from heathermount.gateway.announcements import Announcement
 from heathermount.gateway.configuration import ConfigurationTracker
 from heathermount.gateway.decisions import DecisionLog
 from heathermount.gateway.dialect import Dialect
@@ -38,7 +38,7 @@
 from heathermount.routing.quarantine import Quarantine
 from heathermount.values import Load, Outcome, Reason, ServiceThreshold
 
-__all__ = ["Announcement", "Execution", "RunContext"]
+__all__ = ["Execution", "RunContext"]
 
 # The server answers itself at the deadline that it is given; its answer gets
 # this long to arrive, in seconds.
@@ -61,24 +61,6 @@
 BODY_METHODS: Final = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
-class Announcement(msgspec.Struct, frozen=True):
-    """What a backend server says of itself."""
-
-    server_id: str
-    service: str
-    address: str
-    slots: int
-    draining: bool
-    cold_start_s: float
-    # Start of the server, in milliseconds since the Unix epoch, and the number
-    # of the announcement since then; together they order announcements.
-    born_ms: int
-    sequence: int
-
-    def follows(self, other: "Announcement") -> bool:
-        return (self.born_ms, self.sequence) >= (other.born_ms, other.sequence)
-
-
 class RunContext:
     """A request that runs at the backend server, to which its calls belong.
 
@@ -186,7 +168,7 @@
             return
         self.announcement = announcement
         self._last_sign_at = self._clock.monotonic()
-        if known is None or not same_start(known, announcement):
+        if known is None or not known.same_start(announcement):
             self._start(announcement)
         elif announcement.draining:
             self._leave("draining")
@@ -209,7 +191,7 @@
             self._settings,
             self._clock,
             self._random,
-            announcement.slots,
+            announcement.usable_slots,
             self._events,
             self._invariants,
         )
@@ -435,12 +417,3 @@
         parts.append(b"\r\n")
         parts.append(message.body)
         return b"".join(parts)
-
-
-def same_start(one: Announcement, other: Announcement) -> bool:
-    return (one.server_id, one.born_ms, one.address, one.slots) == (
-        other.server_id,
-        other.born_ms,
-        other.address,
-        other.slots,
-    )
--- a/src/heathermount/platform/heartbeats.py
+++ b/src/heathermount/platform/heartbeats.py
@@ -6,7 +6,8 @@
 from absl import logging
 
 from heathermount.config.durations import parse_duration
-from heathermount.gateway.execution import Announcement, Execution
+from heathermount.gateway.announcements import Announcement
+from heathermount.gateway.execution import Execution
 from heathermount.gateway.http import HttpRequest, HttpResponse
 
 __all__ = ["HeartbeatListener", "decode_heartbeat"]
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -11,6 +11,7 @@
 from heathermount.clocks import Clock, SystemClock
 from heathermount.config.settings import PolicySettings
 from heathermount.events import EventLog
+from heathermount.gateway.announcements import Announcement
 from heathermount.gateway.configuration import ConfigurationTracker
 from heathermount.gateway.decisions import DecisionLog
 from heathermount.gateway.document import (
@@ -21,7 +22,7 @@
     Target,
     digest_key,
 )
-from heathermount.gateway.execution import Announcement, Execution
+from heathermount.gateway.execution import Execution
 from heathermount.gateway.http import (
     HttpConnection,
     HttpLimits,
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -180,6 +180,22 @@
     run_async(check)
 
 
+@pytest.mark.parametrize(
+    ("slots", "limit"), [(1, 1), (9, 9), (10, 9), (20, 18), (34, 32), (100, 94)]
+)
+def test_keeps_slots_free_at_servers_that_slow_down(slots: int, limit: int) -> None:
+    """Guards against an overload that fills a server until it slows down."""
+
+    async def check() -> None:
+        place = Place()
+        await place.start(slots)
+        load = place.execution.load()
+        assert load is not None and load.limit == limit
+        place.server.stop()
+
+    run_async(check)
+
+
 def test_refuses_what_cannot_be_answered_in_time() -> None:
     """Guards against requests that wait in a queue until nobody needs them."""
 
