Tell permits about the calls of running requests

Cause: gateway nodes never told the permit of a request that it waits for a call, so that a slow deep service counted as service time of the servers above it and halved their limits. Change: Entry notes the start and end of each call at its parent's permit. Conclusion: a fault found by reading; the test fails without the change.

--- a/src/heathermount/gateway/entry.py
+++ b/src/heathermount/gateway/entry.py
@@ -248,11 +248,13 @@
             return await self._charge_and_dispatch(call)
         parent.calls += 1
         succeeded = False
+        parent.permit.enter_deeper(self._clock.monotonic())
         try:
             answer = await self._dispatch(call)
             succeeded = answer.status < SERVER_ERROR
             return answer
         finally:
+            parent.permit.leave_deeper(self._clock.monotonic())
             if not succeeded:
                 parent.call_failed = True
 
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -1,6 +1,7 @@
 """Whole gateway nodes with the platform's stand-ins: requests, faults, changes."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -285,6 +286,36 @@
     run_async(check)
 
 
+def test_waits_for_calls_are_not_service_time() -> None:
+    """Guards against a slow service that lowers the limits of those above it."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry", "orders"), make_document(1, ROUTES)) as (
+            _,
+            nodes,
+        ):
+            own_times: list[float] = []
+            nodes[1].server.work_s = 0.3
+
+            async def make_call(request: ServedRequest) -> int:
+                found = await send_request(
+                    nodes[0].settings.listen.outbound,
+                    "GET",
+                    "/ledger/1",
+                    request_id=f"{request.request_id}.c-1",
+                    key="",
+                )
+                context = nodes[0].node.execution.contexts[request.request_id.encode()]
+                own_times.append(context.permit.own_time(time.monotonic()))
+                return found[0]
+
+            nodes[0].server.work = make_call
+            assert (await nodes[0].request())[0] == 200
+            assert max(own_times) < 0.2
+
+    run_async(check)
+
+
 def test_metrics_tell_what_was_decided() -> None:
     """Guards against operators who cannot see refusals and their reasons."""
 
