Read settings sections and header lists in one place

Two attributes were written and never read. Change: TableChecker.convert_sections, values.Headers; HttpRequest.received_at and ServerPool.opened are gone. Measured: tests only; no behaviour changes.

--- a/src/heathermount/claims/client.py
+++ b/src/heathermount/claims/client.py
@@ -13,12 +13,11 @@
 from heathermount.errors import HeathermountError, PeerError, Refusal
 from heathermount.events import EventLog
 from heathermount.ownership import OwnerDirectory, OwnerRecord
-from heathermount.values import Outcome, Reason
+from heathermount.values import Headers, Outcome, Reason
 from heathermount.wire.messages import (
     Claim,
     ClaimReply,
     ClaimUpdated,
-    Headers,
     Message,
     Settle,
     UnclaimKey,
--- a/src/heathermount/claims/table.py
+++ b/src/heathermount/claims/table.py
@@ -11,12 +11,11 @@
 from heathermount.clocks import Clock
 from heathermount.invariants import Invariants
 from heathermount.ownership import NotOwner, Partition
-from heathermount.values import Outcome
+from heathermount.values import Headers, Outcome
 from heathermount.wire.messages import (
     Claim,
     ClaimReply,
     ClaimUpdated,
-    Headers,
     Settle,
     UnclaimKey,
 )
--- a/src/heathermount/config/checking.py
+++ b/src/heathermount/config/checking.py
@@ -72,6 +72,18 @@
             return None
         return kind(**values)
 
+    def convert_sections(
+        self, config: dict[str, Any], kinds: dict[str, type[msgspec.Struct]]
+    ) -> dict[str, Any]:
+        """Return each section as a struct, None for one that has problems."""
+        for name in sorted(config.keys() - kinds.keys()):
+            choices = ", ".join(sorted(kinds))
+            self.add(name, "is unknown", f"remove it or use: {choices}")
+        return {
+            name: self.convert(config.get(name, {}), kind, name)
+            for name, kind in kinds.items()
+        }
+
     def finish(self) -> None:
         """Raise an exception group when any problem was found."""
         if self.problems:
--- a/src/heathermount/gateway/http.py
+++ b/src/heathermount/gateway/http.py
@@ -10,7 +10,7 @@
 import msgspec
 from absl import logging
 
-from heathermount.gateway.messages import Headers
+from heathermount.values import Headers
 
 __all__ = [
     "HOP_HEADERS",
@@ -59,7 +59,7 @@
 class HttpRequest:
     """One whole request; header names are in lower case."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "received_at", "target")
+    __slots__ = ("body", "headers", "keep_alive", "method", "target")
 
     def __init__(
         self,
@@ -67,15 +67,12 @@
         target: bytes,
         headers: Headers,
         body: bytes,
-        received_at: float,
         keep_alive: bool = True,
     ) -> None:
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
-        # Time of the event loop at which the whole request was there.
-        self.received_at = received_at
         self.keep_alive = keep_alive
 
 
@@ -238,14 +235,12 @@
     def on_message_complete(self) -> None:
         if self._refused or self._headers is None:
             return
-        now = self._loop.time()
         self._reading_since = 0.0
         request = HttpRequest(
             self._parser.get_method(),
             self._target,
             self._headers,
             self._body[0] if len(self._body) == 1 else b"".join(self._body),
-            now,
             self._parser.should_keep_alive(),
         )
         self._headers = None
--- a/src/heathermount/gateway/messages.py
+++ b/src/heathermount/gateway/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from heathermount.values import Load, ServiceThreshold
+from heathermount.values import Headers, Load, ServiceThreshold
 from heathermount.wire.messages import Suspicion
 
 __all__ = [
@@ -12,7 +12,6 @@
     "MESSAGE_ENCODER",
     "Answer",
     "Execute",
-    "Headers",
     "Message",
     "Ping",
     "Pong",
@@ -20,8 +19,6 @@
     "TokenRequest",
 ]
 
-Headers = list[tuple[bytes, bytes]]
-
 
 class Execute(msgspec.Struct, tag=1, array_like=True):
     """Ask the node beside a backend server to run a request."""
--- a/src/heathermount/gateway/settings.py
+++ b/src/heathermount/gateway/settings.py
@@ -97,13 +97,7 @@
     def from_config(cls, config: dict[str, Any], source: str) -> Self:
         """Check settings that were read from `source`."""
         checker = TableChecker(source)
-        for name in sorted(config.keys() - SECTIONS.keys()):
-            choices = ", ".join(sorted(SECTIONS))
-            checker.add(name, "is unknown", f"remove it or use: {choices}")
-        tables: dict[str, Any] = {
-            name: checker.convert(config.get(name, {}), kind, name)
-            for name, kind in SECTIONS.items()
-        }
+        tables = checker.convert_sections(config, SECTIONS)
         check_addresses(checker, tables["node"], tables["listen"], tables["store"])
         check_durations(checker, tables["bounds"])
         checker.finish()
--- a/src/heathermount/gateway/upstream.py
+++ b/src/heathermount/gateway/upstream.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from heathermount.gateway.http import HOP_HEADERS
-from heathermount.gateway.messages import Headers
+from heathermount.values import Headers
 
 __all__ = ["ServerAnswer", "ServerBroke", "ServerPool", "ServerUnreachable"]
 
@@ -239,7 +239,6 @@
         # Header in which the server echoes the identifier of a request.
         self.id_header = id_header
         self.limit = limit
-        self.opened = 0
         self._loop = asyncio.get_running_loop()
         self._connections: set[ServerConnection] = set()
         self._connecting = 0
@@ -305,7 +304,6 @@
             idle = self._take_idle()
             if idle is not None:
                 return idle
-        self.opened += 1
         self._connecting += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/src/heathermount/node/entry.py
+++ b/src/heathermount/node/entry.py
@@ -17,11 +17,12 @@
 from heathermount.routing import AttemptLedger, ResendTracker
 from heathermount.values import (
     INTERNAL_ORGANISATION,
+    Headers,
     Importance,
     Outcome,
     Reason,
 )
-from heathermount.wire.messages import Answer, Headers
+from heathermount.wire.messages import Answer
 
 __all__ = ["Entry"]
 
--- a/src/heathermount/node/http.py
+++ b/src/heathermount/node/http.py
@@ -8,8 +8,8 @@
 from heathermount.config.settings import LimitSettings
 from heathermount.errors import Refusal
 from heathermount.node.refusals import headers_of, make_refusal, refusal_body
-from heathermount.values import Outcome, Reason
-from heathermount.wire.messages import Answer, Headers
+from heathermount.values import Headers, Outcome, Reason
+from heathermount.wire.messages import Answer
 
 __all__ = [
     "ASGIApp",
--- a/src/heathermount/node/refusals.py
+++ b/src/heathermount/node/refusals.py
@@ -4,8 +4,8 @@
 from typing import Final
 
 from heathermount.errors import Refusal
-from heathermount.values import Outcome, Reason
-from heathermount.wire.messages import Answer, Headers
+from heathermount.values import Headers, Outcome, Reason
+from heathermount.wire.messages import Answer
 
 __all__ = [
     "answer_of",
--- a/src/heathermount/node/server.py
+++ b/src/heathermount/node/server.py
@@ -7,7 +7,7 @@
 import httpcore
 
 from heathermount.clocks import Clock
-from heathermount.wire.messages import Headers
+from heathermount.values import Headers
 
 __all__ = [
     "AnswerTooLarge",
--- a/src/heathermount/values.py
+++ b/src/heathermount/values.py
@@ -8,6 +8,7 @@
 __all__ = [
     "COHORTS",
     "INTERNAL_ORGANISATION",
+    "Headers",
     "Importance",
     "Load",
     "Outcome",
@@ -19,6 +20,9 @@
 # Root requests are hashed to this many cohorts within a class.
 COHORTS: Final = 256
 
+# Names and values of HTTP headers in their order.
+Headers = list[tuple[bytes, bytes]]
+
 # Calls that a backend server makes on its own account run for this organisation.
 INTERNAL_ORGANISATION: Final = "internal"
 
--- a/src/heathermount/wire/messages.py
+++ b/src/heathermount/wire/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from heathermount.values import Load, ServiceThreshold
+from heathermount.values import Headers, Load, ServiceThreshold
 
 __all__ = [
     "Answer",
@@ -24,8 +24,6 @@
     "UnclaimKey",
 ]
 
-Headers = list[tuple[bytes, bytes]]
-
 
 class Execute(msgspec.Struct, tag=1, array_like=True):
     """Ask the node beside a backend server to run a request."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -149,7 +149,7 @@
         clock = SystemClock()
         execution = make_execution(clock, make_tracker(clock))
         listener = HeartbeatListener(execution, "pantry")
-        response = await listener.handle(HttpRequest(method, target, [], body, 0.0))
+        response = await listener.handle(HttpRequest(method, target, [], body))
         assert response.status == status
         known = execution.announcement
         assert (known is not None) is (status == 200 and method == b"PUT")
