Choose servers by their response time as well

Change: the balancer keeps a mean response time for each server. Costs rise with pace and load, steeply above 0.8 of the limit, so that slow servers still use their slots in an overload. A near server is preferred unless it is a quarter slower than the mean. A refusal is no response time.

--- a/src/heathermount/gateway/entry.py
+++ b/src/heathermount/gateway/entry.py
@@ -360,14 +360,17 @@
         if remaining_s <= TRAVEL_S:
             raise make_refusal(Reason.DEADLINE, call.outcome)
         message.deadline_s = remaining_s - TRAVEL_S
-        self._balancer.started(member)
+        started_at = self._balancer.started(member)
         answer: Answer | None = None
+        ran_since: float | None = None
         failed: bool | None = None
         try:
             if member.node == self._node:
                 answer = await self._run_here(message, remaining_s)
             else:
                 answer = await self._run_there(call, member, remaining_s)
+            if answer.outcome == Outcome.RAN:
+                ran_since = started_at
             return answer
         except PeerError as error:
             failed = True
@@ -396,7 +399,10 @@
         finally:
             success = judge_answer(answer) if failed is None else False
             self._balancer.finished(
-                member, success, answer.load if answer is not None else None
+                member,
+                success,
+                answer.load if answer is not None else None,
+                ran_since,
             )
 
     async def _run_here(self, message: Execute, remaining_s: float) -> Answer:
--- a/src/heathermount/node/dispatcher.py
+++ b/src/heathermount/node/dispatcher.py
@@ -114,16 +114,22 @@
             allowance,
             self._tracker.revision,
         )
-        self._balancer.started(member)
+        started_at = self._balancer.started(member)
         answer: Answer | None = None
+        ran_since: float | None = None
         try:
             answer = await self._send(member, message)
+            if answer.outcome == Outcome.RAN:
+                ran_since = started_at
         finally:
             call.origin.ledger.settle(
                 allowance, answer.spent if answer is not None else None
             )
             self._balancer.finished(
-                member, judge(answer), answer.load if answer is not None else None
+                member,
+                judge(answer),
+                answer.load if answer is not None else None,
+                ran_since,
             )
         self._seen(call.service, member, answer)
         call.origin.note(answer.thresholds)
--- a/src/heathermount/routing/balancer.py
+++ b/src/heathermount/routing/balancer.py
@@ -27,6 +27,25 @@
 # The rest is a margin for calls of other nodes that no report shows yet.
 ROOM: Final = 0.8
 
+# A server of the own failure domain is preferred only up to this many times the
+# mean response time of its group: crossing costs a millisecond or two.
+DETOUR: Final = 1.25
+
+# Weight of one response time in a server's mean: a mean over about thirty calls.
+TIME_WEIGHT: Final = 1 / 16
+
+# Age at which a response time no longer counts, in seconds, so that a server
+# that was slow is tried again.
+TIME_VALIDITY_S: Final = 10.0
+
+# Period after which the mean response time of a group is determined anew, in
+# seconds.
+REFRESH_S: Final = 0.1
+
+# How steeply the cost of a server rises with its load above `ROOM`: at its limit
+# it costs as much as an idle one that is six times slower.
+CROWDING: Final = 10.0
+
 # Weight of one result in the recent share of failures. A server that fails fast
 # has few requests under way and would attract work, so it is passed over with a
 # probability of this many times the share, up to the given bound.
@@ -73,6 +92,8 @@
         "outstanding",
         "reported_at",
         "service",
+        "time_s",
+        "timed_at",
     )
 
     def __init__(self, service: str, member: Member, now: float) -> None:
@@ -88,13 +109,30 @@
         # Requests of other nodes in the last load report, and its time.
         self.others = 0
         self.reported_at = now
+        # Recent mean response time of successful calls, and its age.
+        self.time_s = 0.0
+        self.timed_at = float("-inf")
+
+    def note_time(self, time_s: float, now: float) -> None:
+        """Take the response time of a successful call."""
+        if now - self.timed_at > TIME_VALIDITY_S:
+            self.time_s = time_s
+        else:
+            self.time_s += TIME_WEIGHT * (time_s - self.time_s)
+        self.timed_at = now
+
+    def pace(self, mean_s: float, now: float) -> float:
+        """Return the response time relative to the mean of the group."""
+        if mean_s <= 0.0 or now - self.timed_at > TIME_VALIDITY_S:
+            return 1.0
+        return self.time_s / mean_s
 
     def report(self, load: Load, now: float) -> None:
         self.limit = max(1, load.limit)
         self.others = max(0, load.running + load.queued - self.outstanding)
         self.reported_at = now
 
-    def score(self, now: float, wall: float) -> float:
+    def load(self, now: float, wall: float) -> float:
         """Return requests over limit if one more were sent."""
         age_s = now - self.reported_at
         busy = self.outstanding + 1
@@ -116,22 +154,43 @@
 class Group:
     """Servers of one service that may be chosen now."""
 
-    __slots__ = ("available", "local", "next_change", "states")
+    __slots__ = (
+        "available",
+        "local",
+        "next_change",
+        "refreshed_at",
+        "states",
+        "time_s",
+    )
 
     def __init__(self) -> None:
         self.states: list[ServerState] = []
         self.available: list[ServerState] = []
         self.local: list[ServerState] = []
         self.next_change = float("inf")
+        # Mean response time of the servers; zero before any is known.
+        self.time_s = 0.0
+        self.refreshed_at = float("-inf")
+
+    def refresh(self, now: float) -> None:
+        """Determine the mean response time anew when it is too old."""
+        if now - self.refreshed_at < REFRESH_S:
+            return
+        self.refreshed_at = now
+        oldest = now - TIME_VALIDITY_S
+        times = [s.time_s for s in self.available if s.timed_at >= oldest]
+        self.time_s = sum(times) / len(times) if times else 0.0
 
 
 class Balancer:
     """Chooses servers by two random candidates.
 
-    The better one has fewer requests over its limit: this node's outstanding
+    The better one answers sooner: its recent response time counts, and its
+    load, which is requests over its limit. These are this node's outstanding
     ones plus those of other nodes in its last load report, aged. A report
     counts running requests as well as queued ones, because below saturation
-    no queue shows which server is less busy.
+    no queue shows which server is less busy. While there is room, slow servers
+    get less; near saturation all slots are used.
     """
 
     __slots__ = ("_clock", "_domain", "_groups", "_random", "_states")
@@ -173,31 +232,39 @@
         if now >= group.next_change:
             self._rebuild(group, now)
         wall = self._clock.wall()
+        group.refresh(now)
         if group.local:
-            state, score = self._better(group.local, tried, now, wall)
-            if state is not None and score <= ROOM:
+            state, detour = self._better(group.local, group, tried, now, wall)
+            if state is not None and detour <= DETOUR:
                 return state.member
-        state, _ = self._better(group.available, tried, now, wall)
+        state, _ = self._better(group.available, group, tried, now, wall)
         if state is None:
             state = self._last_resort(group, tried)
         if state is None:
             raise NoServer(service)
         return state.member
 
-    def started(self, member: Member) -> None:
-        """Count a request that was sent to a server."""
+    def started(self, member: Member) -> float:
+        """Count a request that was sent to a server; return the present time."""
         state = self._states.get(state_key(member))
         if state is not None:
             state.outstanding += 1
+        return self._clock.monotonic()
 
     def finished(
-        self, member: Member, success: bool | None, load: Load | None = None
+        self,
+        member: Member,
+        success: bool | None,
+        load: Load | None = None,
+        ran_since: float | None = None,
     ) -> None:
         """Count the end of a call; every `started` needs one.
 
         `success` is false when the server or its node failed, and None when
         the caller gave up first. A refusal by an overloaded server is a
-        success: its load keeps further calls away.
+        success: its load keeps further calls away. `ran_since` is the time that
+        `started` returned, for a request that the server ran: a quick refusal
+        must not look like a quick answer.
         """
         state = self._states.get(state_key(member))
         if state is None:
@@ -207,6 +274,8 @@
         if load is not None:
             state.report(load, now)
         if success:
+            if ran_since is not None:
+                state.note_time(now - ran_since, now)
             self._succeeded(state, now)
         elif success is not None:
             self._failed(state, now)
@@ -239,10 +308,15 @@
     def _better(
         self,
         states: list[ServerState],
+        group: Group,
         tried: Container[str],
         now: float,
         wall: float,
     ) -> tuple[ServerState | None, float]:
+        """Return the better of two random servers and its pace.
+
+        The pace is infinite when the server has no room.
+        """
         if tried:
             states = [state for state in states if state.member.node not in tried]
         count = len(states)
@@ -251,22 +325,29 @@
         # `random()` is several times faster than `sample()`.
         first = int(self._random.random() * count)
         state = states[first]
-        score = self._score(state, now, wall)
+        cost, pace = self._rate(state, group, now, wall)
         if count > 1:
             second = int(self._random.random() * (count - 1))
             other = states[second if second < first else second + 1]
-            other_score = self._score(other, now, wall)
-            if other_score < score:
-                return other, other_score
-        return state, score
-
-    def _score(self, state: ServerState, now: float, wall: float) -> float:
-        score = state.score(now, wall)
+            other_cost, other_pace = self._rate(other, group, now, wall)
+            if other_cost < cost:
+                return other, other_pace
+        return state, pace
+
+    def _rate(
+        self, state: ServerState, group: Group, now: float, wall: float
+    ) -> tuple[float, float]:
+        """Return the cost of sending a request to a server, and its pace."""
+        pace = state.pace(group.time_s, now)
         if state.failing > FAILING:
             avoidance = min(MAX_AVOIDANCE, AVOIDANCE * state.failing)
             if self._random.random() < avoidance:
-                return PASSED_OVER * score
-        return score
+                pace *= PASSED_OVER
+        load = state.load(now, wall)
+        if load <= ROOM:
+            return pace * (1.0 + load), pace
+        crowding = 1.0 + CROWDING * (load - ROOM)
+        return pace * (1.0 + load) * crowding, float("inf")
 
     def _last_resort(self, group: Group, tried: Container[str]) -> ServerState | None:
         """Return the ejected server that would come back first."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -81,6 +81,44 @@
     assert count_choices(balancer).keys() == {"p-1", "p-2"}
 
 
+def answer(
+    balancer: Balancer, clock: ManualClock, member: Member, time_s: float
+) -> None:
+    started_at = balancer.started(member)
+    clock.advance(time_s)
+    balancer.finished(member, True, None, started_at)
+
+
+def test_a_slow_near_server_does_not_keep_its_domains_requests() -> None:
+    """Guards against deadlines missed at a slow server beside idle faster ones."""
+    clock = ManualClock()
+    members = [make_member("p-1"), make_member("p-2", "b"), make_member("p-3", "c")]
+    balancer = make_balancer(clock, *members)
+    for _ in range(10):
+        for member, time_s in zip(members, (0.4, 0.1, 0.1), strict=True):
+            answer(balancer, clock, member, time_s)
+    assert count_choices(balancer)["p-1"] == 0
+    # Its response times are too old, so that it is tried again.
+    clock.advance(11.0)
+    assert count_choices(balancer).keys() == {"p-1"}
+
+
+def test_slow_servers_still_use_their_slots_in_an_overload() -> None:
+    """Guards against slots that stay idle while requests are refused."""
+    clock = ManualClock()
+    members = [make_member(f"p-{i}", "b", slots=10) for i in range(3)]
+    balancer = make_balancer(clock, *members)
+    for _ in range(10):
+        for member, time_s in zip(members, (0.2, 0.1, 0.1), strict=True):
+            answer(balancer, clock, member, time_s)
+    for _ in range(12):
+        balancer.started(balancer.choose("pantry"))
+    assert balancer.outstanding("pantry")["p-0"] <= 3
+    for _ in range(18):
+        balancer.started(balancer.choose("pantry"))
+    assert balancer.outstanding("pantry")["p-0"] >= 7
+
+
 def test_ejects_failing_servers_with_backoff() -> None:
     """Guards against calls to a dead server, and against ejecting it for good."""
     clock = ManualClock()
