Cancel queued requests of clients that have left

Change: the entry node always cancels. The executing node drops what waits and lets a run that may not be repeated go on, in a task of its own that a stop waits for. What belongs to one run moves to gateway/runs. Measured: tests only so far; the new test fails without the change for orders, which ran after their clients had gone.

--- a/src/heathermount/gateway/entry.py
+++ b/src/heathermount/gateway/entry.py
@@ -19,7 +19,6 @@
     RouteEntry,
     choose_target,
 )
-from heathermount.gateway.execution import RunContext
 from heathermount.gateway.http import (
     HOP_HEADERS,
     HttpRequest,
@@ -33,6 +32,7 @@
 from heathermount.gateway.refusals import make_refusal, refusal_of, response_of
 from heathermount.gateway.repeats import SERVER_ERROR, Call, Repeats, judge_answer
 from heathermount.gateway.returns import choose_return, latest_return
+from heathermount.gateway.runs import RunContext
 from heathermount.routing.balancer import Balancer, NoServer
 from heathermount.routing.members import Member
 from heathermount.routing.resends import fingerprint
@@ -405,12 +405,7 @@
 
     async def _run_here(self, message: Execute, remaining_s: float) -> Answer:
         async with asyncio.timeout(remaining_s):
-            if message.idempotent:
-                return await self._execute_here(message)
-            # A run that may not be repeated goes on when its client leaves: to
-            # break it off would leave its effect unknown.
-            run = asyncio.ensure_future(self._execute_here(message))
-            return await asyncio.shield(run)
+            return await self._execute_here(message)
 
     async def _run_there(
         self, call: Call, member: Member, remaining_s: float
@@ -421,10 +416,7 @@
             async with asyncio.timeout(remaining_s):
                 answer = await future
         except BaseException:
-            if call.message.idempotent:
-                link.cancel_call(number)
-            else:
-                link.forget_call(number)
+            link.cancel_call(number)
             raise
         if not isinstance(answer, Answer):
             raise PeerLost(f"{member.node} sent another message than an answer")
--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -28,6 +28,7 @@
 from heathermount.gateway.messages import Answer, Execute
 from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.refusals import answer_of, make_refusal
+from heathermount.gateway.runs import RunContext, finish_anyway
 from heathermount.gateway.upstream import (
     ServerAnswer,
     ServerBroke,
@@ -38,7 +39,7 @@
 from heathermount.routing.quarantine import Quarantine
 from heathermount.values import Load, Outcome, Reason, ServiceThreshold
 
-__all__ = ["Execution", "RunContext"]
+__all__ = ["Execution"]
 
 # The server answers itself at the deadline that it is given; its answer gets
 # this long to arrive, in seconds.
@@ -61,27 +62,6 @@
 BODY_METHODS: Final = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
-class RunContext:
-    """A request that runs at the backend server, to which its calls belong.
-
-    It collects the thresholds of the services that the calls visit, so that
-    the entry node learns what is short deep in the chain.
-    """
-
-    __slots__ = ("call_failed", "calls", "message", "permit", "thresholds")
-
-    def __init__(self, message: Execute, permit: Permit) -> None:
-        self.message = message
-        self.permit = permit
-        self.calls = 0
-        self.call_failed = False
-        self.thresholds: dict[str, ServiceThreshold] = {}
-
-    def observe(self, thresholds: list[ServiceThreshold]) -> None:
-        for threshold in thresholds:
-            self.thresholds[threshold.service] = threshold
-
-
 class Execution:
     """Runs requests at the backend server beside this node, or refuses them."""
 
@@ -147,7 +127,7 @@
         self.announcement: Announcement | None = None
         # True after the backend server told that it leaves.
         self.leaving = False
-        # Requests that wait or run here.
+        # Requests that wait or run here and whose callers are there.
         self.active = 0
         # Running requests by their identifiers.
         self.contexts: dict[bytes, RunContext] = {}
@@ -156,6 +136,11 @@
     def serving(self) -> bool:
         return self.announcement is not None and not self.leaving
 
+    @property
+    def busy(self) -> bool:
+        """Whether any request waits or runs here."""
+        return bool(self.active or self.contexts)
+
     @property
     def silent(self) -> bool:
         """Whether the backend server has given no sign of life for a while."""
@@ -269,8 +254,22 @@
         )
         queued_at = self._clock.monotonic()
         permit = await admission.admit(ticket)
+        self._metrics.record("queue_wait", self._clock.monotonic() - queued_at)
+        run = self._run_admitted(message, deadline, admission, permit)
+        if message.idempotent:
+            return await run
+        # A run that may not be repeated goes on when its client leaves: to break
+        # it off would leave its effect unknown.
+        return await finish_anyway(run)
+
+    async def _run_admitted(
+        self,
+        message: Execute,
+        deadline: float,
+        admission: AdmissionController,
+        permit: Permit,
+    ) -> Answer:
         started_at = self._clock.monotonic()
-        self._metrics.record("queue_wait", started_at - queued_at)
         result = RunResult.CANCELLED
         context = RunContext(message, permit)
         try:
--- a/src/heathermount/gateway/links.py
+++ b/src/heathermount/gateway/links.py
@@ -243,10 +243,6 @@
         if self._pending.pop(number, None) is not None and self._protocol is not None:
             self._protocol.send(number, Kind.CANCEL)
 
-    def forget_call(self, number: int) -> None:
-        """Stop waiting for an answer without stopping the call."""
-        self._pending.pop(number, None)
-
     async def call(self, message: Message, timeout_s: float) -> Message:
         """Send a message and return its answer.
 
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -20,7 +20,7 @@
 from heathermount.gateway.decisions import DecisionLog
 from heathermount.gateway.dialect import Dialect
 from heathermount.gateway.entry import Entry
-from heathermount.gateway.execution import Execution, RunContext
+from heathermount.gateway.execution import Execution
 from heathermount.gateway.following import (
     ConfigurationFollower,
     ConfigurationReader,
@@ -49,6 +49,7 @@
     ServerRecord,
     make_member,
 )
+from heathermount.gateway.runs import RunContext
 from heathermount.gateway.settings import GatewaySettings
 from heathermount.invariants import Invariants
 from heathermount.routing.balancer import Balancer
@@ -441,6 +442,6 @@
         loop = asyncio.get_running_loop()
         while loop.time() < until:
             busy = any(client.busy for client in self._clients)
-            if not busy and not self.execution.active:
+            if not busy and not self.execution.busy:
                 return
             await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/src/heathermount/gateway/runs.py
@@ -0,0 +1,52 @@
+"""Requests that run at the backend server beside this node."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from absl import logging
+
+from heathermount.admission import Permit
+from heathermount.gateway.messages import Answer, Execute
+from heathermount.values import ServiceThreshold
+
+__all__ = ["RunContext", "finish_anyway"]
+
+
+class RunContext:
+    """A request that runs at the backend server, to which its calls belong.
+
+    It collects the thresholds of the services that the calls visit, so that
+    the entry node learns what is short deep in the chain.
+    """
+
+    __slots__ = ("call_failed", "calls", "message", "permit", "thresholds")
+
+    def __init__(self, message: Execute, permit: Permit) -> None:
+        self.message = message
+        self.permit = permit
+        self.calls = 0
+        self.call_failed = False
+        self.thresholds: dict[str, ServiceThreshold] = {}
+
+    def observe(self, thresholds: list[ServiceThreshold]) -> None:
+        for threshold in thresholds:
+            self.thresholds[threshold.service] = threshold
+
+
+async def finish_anyway(run: Coroutine[Any, Any, Answer]) -> Answer:
+    """Await a run that goes on when the caller is cancelled."""
+    task = asyncio.ensure_future(run)
+    try:
+        return await asyncio.shield(task)
+    except asyncio.CancelledError:
+        task.add_done_callback(note_abandoned)
+        raise
+
+
+def note_abandoned(task: asyncio.Task[Answer]) -> None:
+    """Log how a run ended whose caller has left."""
+    error = None if task.cancelled() else task.exception()
+    logging.info(
+        'event=run-abandoned cancelled=%s error="%s"', task.cancelled(), error or ""
+    )
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -196,6 +196,38 @@
     run_async(check)
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_queued_request_does_not_run_after_its_client_has_left(
+    idempotent: bool,
+) -> None:
+    """Guards against an order that runs although nobody waits for it any more."""
+
+    async def check() -> None:
+        server = PlatformServerStandIn("i-1", work_s=0.2)
+        await server.start()
+        clock = SystemClock()
+        execution = make_execution(clock, make_tracker(clock))
+        execution.announce(make_announcement(server.address, slots=1))
+        runs = [
+            asyncio.create_task(
+                execution.execute(make_execute(b"r-%d" % i, idempotent=idempotent))
+            )
+            for i in range(2)
+        ]
+        await wait_for(lambda: server.ids() == ["r-0"])
+        for run in runs:
+            run.cancel()
+        await asyncio.wait(runs)
+        assert execution.busy is not idempotent
+        await wait_for(lambda: not execution.busy)
+        # The order that ran already runs to its end, the queued one never does.
+        assert server.ids() == ["r-0"]
+        await wait_for(lambda: server.cancelled == idempotent)
+        server.stop()
+
+    run_async(check)
+
+
 def test_refuses_what_cannot_be_answered_in_time() -> None:
     """Guards against requests that wait in a queue until nobody needs them."""
 
