Let pauses of the store's callers grow during an outage

Four loops of a node that the store refuses called it every 0.3 to 0.4 s. Change: RetryPause doubles the pause up to 1.2 s, spread by a fifth, so that what lapsed is still back within two seconds.

--- a/src/heathermount/gateway/following.py
+++ b/src/heathermount/gateway/following.py
@@ -1,6 +1,7 @@
 """Follows the operators' configuration in the store."""
 
 import asyncio
+from random import Random
 from typing import Final, Protocol
 
 from absl import logging
@@ -9,6 +10,7 @@
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
 from heathermount.gateway.configuration import ConfigurationTracker
 from heathermount.gateway.document import GatewayDocument
+from heathermount.gateway.pauses import RetryPause
 from heathermount.gateway.registry import Registry
 from heathermount.store.interface import HistoryLost
 
@@ -28,9 +30,6 @@
 # Nodes of each failure domain that read for the others.
 READERS_PER_DOMAIN: Final = 1
 
-# Pause after a failed call to the store, in seconds.
-RETRY_S: Final = 0.3
-
 
 class ConfigurationReader(Protocol):
     """Reads the operators' configuration from the store."""
@@ -55,7 +54,7 @@
     `watch` and `prove` run until cancelled.
     """
 
-    __slots__ = ("_clock", "_reader", "_registry", "_tracker")
+    __slots__ = ("_clock", "_random", "_reader", "_registry", "_tracker")
 
     def __init__(
         self,
@@ -63,7 +62,9 @@
         tracker: ConfigurationTracker,
         registry: Registry,
         clock: Clock,
+        random: Random,
     ) -> None:
+        self._random = random
         self._reader = reader
         self._tracker = tracker
         self._registry = registry
@@ -72,10 +73,12 @@
     async def watch(self) -> None:
         """Take changes of the configuration as soon as the store tells them."""
         revision = 0
+        pause = RetryPause(self._random)
         while True:
             try:
                 if not revision:
                     revision = await self._read()
+                    pause.succeeded()
                 changed, revision = await self._reader.wait(revision, WATCH_S)
                 if changed:
                     revision = await self._read()
@@ -85,10 +88,11 @@
                 # A watch that was cut may have missed changes.
                 revision = 0
                 self._log_failure(error)
-                await asyncio.sleep(RETRY_S)
+                await pause.wait()
 
     async def prove(self) -> None:
         """Prove from time to time that this node's configuration is current."""
+        pause = RetryPause(self._random)
         while True:
             own_read_s = OWN_READ_SHARE * self._tracker.freshness_s
             age_s = READ_S if self._reads_for_others() else own_read_s
@@ -98,9 +102,10 @@
                 continue
             try:
                 await self._read()
+                pause.succeeded()
             except (StoreUnavailable, StoreOutcomeUnknown) as error:
                 self._log_failure(error)
-                await asyncio.sleep(RETRY_S)
+                await pause.wait()
 
     async def _read(self) -> int:
         """Read the configuration; return the revision to watch from."""
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -189,9 +189,10 @@
             record,
             self._nodes_changed,
             lambda other: self._links.usable(other.address),
+            random,
         )
         self._follower = ConfigurationFollower(
-            reader, self._tracker, self.registry, clock
+            reader, self._tracker, self.registry, clock, random
         )
         self._services: set[str] = set()
         self._clients: set[HttpConnection] = set()
--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from random import Random
 from typing import Final
 
 import msgspec
@@ -9,6 +10,7 @@
 
 from heathermount.clocks import Clock
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
+from heathermount.gateway.pauses import RetryPause
 from heathermount.routing.members import Member
 from heathermount.store.interface import HistoryLost, WatchedStore
 
@@ -27,10 +29,6 @@
 LEASE_S: Final = 6.0
 RENEW_S: Final = 2.0
 
-# Pause after a failed call to the store, in seconds. Entries must be back within
-# 2 s of the store's return.
-RETRY_S: Final = 0.4
-
 # Longest wait of a stopping node for the end of its lease, in seconds; without an
 # answer the entry ends with the lease's term.
 WITHDRAW_S: Final = 0.2
@@ -82,6 +80,7 @@
         "_is_alive",
         "_lease_id",
         "_missing_since",
+        "_random",
         "_record",
         "_revision",
         "_store",
@@ -99,7 +98,9 @@
         record: NodeRecord,
         changed: Callable[[], None],
         is_alive: Callable[[NodeRecord], bool],
+        random: Random,
     ) -> None:
+        self._random = random
         self._store = store
         self._clock = clock
         self._record = record
@@ -128,17 +129,19 @@
 
     async def maintain(self) -> None:
         """Keep this node registered until cancelled."""
+        pause = RetryPause(self._random)
         while True:
             try:
                 await self._register()
                 self.registered = True
+                pause.succeeded()
                 pause_s = RENEW_S
             except (StoreUnavailable, StoreOutcomeUnknown) as error:
                 logging.log_every_n_seconds(
                     logging.WARNING, 'event=registration-failed error="%s"', 1, error
                 )
                 self._written = None
-                pause_s = RETRY_S
+                pause_s = pause.choose()
             self._updated.clear()
             if self._written != self._record and self._written is not None:
                 continue
@@ -176,10 +179,12 @@
 
     async def follow(self) -> None:
         """Follow the entries of all nodes until cancelled."""
+        pause = RetryPause(self._random)
         while True:
             try:
                 if not self._revision:
                     await self._read_all()
+                    pause.succeeded()
                 await self._watch()
             except HistoryLost:
                 self._revision = 0
@@ -189,7 +194,7 @@
                 )
                 # Entries may lapse without a trace in the history.
                 self._revision = 0
-                await asyncio.sleep(RETRY_S)
+                await pause.wait()
 
     async def _read_all(self) -> None:
         items, self._revision = await self._store.read_prefix(NODES_PREFIX)
