Move the platform's client and operator to the stand-ins

Cause: a soak of the gateway needs them outside the tests. Change: moves only; the store's stand-in can rewrite what nodes write, so that a proxy stands between nodes that find each other there.

--- /dev/null
+++ b/src/heathermount/standins/platform_client.py
@@ -0,0 +1,52 @@
+"""A client on the platform: sends requests to the node of its instance."""
+
+import asyncio
+from typing import Final
+
+__all__ = ["HOST", "KEY", "read_response", "send_request"]
+
+# Host and key of requests that name none.
+HOST: Final = "shop.example"
+KEY: Final = "key-of-anna"
+
+
+async def send_request(
+    address: str,
+    method: str,
+    target: str,
+    request_id: str = "r-1",
+    key: str = KEY,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    host: str = HOST,
+) -> tuple[int, dict[str, str], bytes]:
+    """Send one request on a new connection; return status, headers and body."""
+    name, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(name, int(port))
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        f"Host: {host}",
+        f"X-Heathermount-Request-Id: {request_id}",
+        f"Content-Length: {len(body)}",
+    ]
+    if key:
+        lines.append(f"X-Heathermount-Key: {key}")
+    lines += [f"{one}: {value}" for one, value in (headers or {}).items()]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    try:
+        return await read_response(reader)
+    finally:
+        writer.close()
+
+
+async def read_response(
+    reader: asyncio.StreamReader,
+) -> tuple[int, dict[str, str], bytes]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    status = int(head[0].split(" ")[1])
+    headers = {}
+    for line in head[1:]:
+        name, _, value = line.partition(": ")
+        if name:
+            headers[name.lower()] = value
+    return status, headers, await reader.readexactly(int(headers["content-length"]))
--- /dev/null
+++ b/src/heathermount/standins/platform_operator.py
@@ -0,0 +1,58 @@
+"""The platform's operator: writes configurations to the store."""
+
+import json
+
+from heathermount.gateway.document import GatewayDocument
+
+__all__ = ["encode_configuration"]
+
+
+def encode_configuration(document: GatewayDocument) -> bytes:
+    """Return a configuration as the platform's operator writes it."""
+    return json.dumps(
+        {
+            "Version": document.version,
+            "Routes": [
+                {
+                    "Name": route.name,
+                    "Host": route.host,
+                    "Prefix": route.prefix,
+                    "Kind": "safe" if route.idempotent else "unsafe",
+                    "Timeout": f"{int(route.timeout_s * 1000)}ms",
+                    "TargetLatency": f"{int(route.objective_s * 1000)}ms",
+                    "Priority": route.priority,
+                    "TrafficSplit": [
+                        {"Service": target.service, "Weight": target.weight}
+                        for target in route.targets
+                    ],
+                    "MaxAttempts": route.max_attempts,
+                    "Public": route.public,
+                }
+                for route in document.routes
+            ],
+            "Services": [
+                {
+                    "Name": service.name,
+                    "HealthCheckPath": service.health_path,
+                    "ConnectionLimit": service.connections,
+                }
+                for service in document.services
+            ],
+            "Limits": {
+                "MaxHeaderBytes": 16384,
+                "MaxBodyBytes": 1000000,
+                "HeaderTimeout": "3000ms",
+                "IdleTimeout": "15000ms",
+            },
+            "Tenants": [
+                {
+                    "Name": one.name,
+                    "ApiKeys": one.keys,
+                    "Priority": one.priority,
+                    "RatePerS": one.rate,
+                    "Burst": one.burst,
+                }
+                for one in document.organisations
+            ],
+        }
+    ).encode()
--- a/src/heathermount/standins/platform_store.py
+++ b/src/heathermount/standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from typing import Any, Final
 from urllib.parse import parse_qs
 
@@ -57,6 +58,8 @@
     Faults are attributes that tests set: `down` answers 503, `silent` never
     answers, `limited` answers 429, `lose_answers` acts and closes the
     connection, `act_late_s` acts that long after the connection was closed.
+    `rewrite` may change a value that a node writes, so that a proxy stands
+    between nodes that find each other here.
     """
 
     def __init__(self) -> None:
@@ -71,6 +74,7 @@
         self.limited = False
         self.lose_answers = False
         self.act_late_s = 0.0
+        self.rewrite: Callable[[str, bytes], bytes] = lambda key, value: value
         self.address = ""
         self._changed = asyncio.Event()
         self._connections: set[HttpConnection] = set()
@@ -238,7 +242,9 @@
                 return answer(412, {"items": [one.describe() for one in present]})
         self.revision += 1
         for put in puts:
-            self._put(put["Key"], put["Value"], put.get("Lease", 0))
+            value = self.rewrite(put["Key"], base64.b64decode(put["Value"]))
+            encoded = base64.b64encode(value).decode()
+            self._put(put["Key"], encoded, put.get("Lease", 0))
         for key in deletes:
             self._delete(key)
         self._announce()
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -39,12 +39,14 @@
 from heathermount.platform.operator import PlatformConfigurationReader
 from heathermount.platform.store import PlatformStore
 from heathermount.routing.quarantine import Quarantine
+from heathermount.standins import platform_client
+from heathermount.standins.platform_client import HOST, send_request
+from heathermount.standins.platform_operator import encode_configuration
 from heathermount.standins.platform_server import PlatformServerStandIn
 from heathermount.standins.platform_store import PlatformStoreStandIn
 from heathermount.store.interface import WatchedStore
 
-KEY = b"key-of-anna"
-HOST = "shop.example"
+KEY = platform_client.KEY.encode()
 
 
 def run_async(body: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -175,57 +177,6 @@
     return Execute(request_id=request_id, **values)
 
 
-def encode_configuration(document: GatewayDocument) -> bytes:
-    """Return a configuration as the platform's operator writes it."""
-    return json.dumps(
-        {
-            "Version": document.version,
-            "Routes": [
-                {
-                    "Name": route.name,
-                    "Host": route.host,
-                    "Prefix": route.prefix,
-                    "Kind": "safe" if route.idempotent else "unsafe",
-                    "Timeout": f"{int(route.timeout_s * 1000)}ms",
-                    "TargetLatency": f"{int(route.objective_s * 1000)}ms",
-                    "Priority": route.priority,
-                    "TrafficSplit": [
-                        {"Service": target.service, "Weight": target.weight}
-                        for target in route.targets
-                    ],
-                    "MaxAttempts": route.max_attempts,
-                    "Public": route.public,
-                }
-                for route in document.routes
-            ],
-            "Services": [
-                {
-                    "Name": service.name,
-                    "HealthCheckPath": service.health_path,
-                    "ConnectionLimit": service.connections,
-                }
-                for service in document.services
-            ],
-            "Limits": {
-                "MaxHeaderBytes": 16384,
-                "MaxBodyBytes": 1000000,
-                "HeaderTimeout": "3000ms",
-                "IdleTimeout": "15000ms",
-            },
-            "Tenants": [
-                {
-                    "Name": one.name,
-                    "ApiKeys": one.keys,
-                    "Priority": one.priority,
-                    "RatePerS": one.rate,
-                    "Burst": one.burst,
-                }
-                for one in document.organisations
-            ],
-        }
-    ).encode()
-
-
 def find_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     try:
@@ -380,48 +331,6 @@
         self.node.close()
 
 
-async def send_request(
-    address: str,
-    method: str,
-    target: str,
-    request_id: str = "r-1",
-    key: str = KEY.decode(),
-    body: bytes = b"",
-    headers: dict[str, str] | None = None,
-    host: str = HOST,
-) -> tuple[int, dict[str, str], bytes]:
-    """Send one request on a new connection; return status, headers and body."""
-    name, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(name, int(port))
-    lines = [
-        f"{method} {target} HTTP/1.1",
-        f"Host: {host}",
-        f"X-Heathermount-Request-Id: {request_id}",
-        f"Content-Length: {len(body)}",
-    ]
-    if key:
-        lines.append(f"X-Heathermount-Key: {key}")
-    lines += [f"{one}: {value}" for one, value in (headers or {}).items()]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-    try:
-        return await read_response(reader)
-    finally:
-        writer.close()
-
-
-async def read_response(
-    reader: asyncio.StreamReader,
-) -> tuple[int, dict[str, str], bytes]:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    status = int(head[0].split(" ")[1])
-    headers = {}
-    for line in head[1:]:
-        name, _, value = line.partition(": ")
-        if name:
-            headers[name.lower()] = value
-    return status, headers, await reader.readexactly(int(headers["content-length"]))
-
-
 @asynccontextmanager
 async def run_fleet(
     services: tuple[str, ...] = ("pantry", "pantry"),
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -9,7 +9,6 @@
 
 from builders_gateway import (
     RunningNode,
-    encode_configuration,
     make_document,
     make_organisation,
     make_route,
@@ -18,6 +17,7 @@
     wait_for,
 )
 from heathermount.cli.explanation import explain_request, parse_line, read_logs
+from heathermount.standins.platform_operator import encode_configuration
 from heathermount.standins.platform_server import Fault
 
 LINES = [
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -8,19 +8,18 @@
 from builders_gateway import (
     KEY,
     RunningNode,
-    encode_configuration,
     is_complete,
     make_document,
     make_organisation,
     make_route,
-    read_response,
     run_async,
     run_fleet,
-    send_request,
     wait_for,
 )
 from heathermount.gateway.messages import Execute
 from heathermount.gateway.node import EXECUTE_SHARE
+from heathermount.standins.platform_client import read_response, send_request
+from heathermount.standins.platform_operator import encode_configuration
 from heathermount.standins.platform_server import Fault, ServedRequest
 
 ROUTES = [
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,7 +9,6 @@
 from hypothesis import given, strategies as st
 
 from builders_gateway import (
-    encode_configuration,
     make_document,
     make_execution,
     make_organisation,
@@ -31,6 +30,7 @@
 from heathermount.platform.heartbeats import HeartbeatListener, decode_heartbeat
 from heathermount.platform.operator import decode_configuration
 from heathermount.platform.store import PlatformStore
+from heathermount.standins.platform_operator import encode_configuration
 from heathermount.standins.platform_store import PlatformStoreStandIn
 from heathermount.store.interface import HistoryLost
 from heathermount.values import Importance, Load
