Add a fault soak of gateway nodes

Change: soak/gateway starts node processes with stand-ins of the platform and clients, puts a loopback proxy before each node and between each node and the store, and overlaps 17 kinds of faults: kills, rolls, pauses, reloads, delayed, silent, one-way and reset connections, an absent, late or forgetful store, crashed, leaving and faulty servers, withdrawn keys, series of configurations. soak/promises checks what clients and servers saw.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: demo test check soak measure capacity clean
+.PHONY: demo test check soak soak-gateway measure capacity clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -27,6 +27,9 @@
 soak: $(VENV)/.installed
 	$(BIN)/python -m heathermount.soak.soak --seed=$(SEED) --seconds=$(SECONDS)
 
+soak-gateway: $(VENV)/.installed
+	$(BIN)/python -m heathermount.soak.gateway --seed=$(SEED) --seconds=$(SECONDS)
+
 measure: $(VENV)/.installed
 	$(BIN)/python -m heathermount.measurement.measure
 
--- a/src/heathermount/runner/processes.py
+++ b/src/heathermount/runner/processes.py
@@ -4,7 +4,7 @@
 import signal
 import socket
 import subprocess
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Final
 
@@ -47,14 +47,30 @@
 class ManagedProcess:
     """One process; signals go to its process id only."""
 
-    __slots__ = ("_command", "_directory", "_process", "log_path", "name", "paused")
-
-    def __init__(self, name: str, command: Sequence[str], directory: Path) -> None:
+    __slots__ = (
+        "_command",
+        "_directory",
+        "_process",
+        "_variables",
+        "log_path",
+        "name",
+        "paused",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        command: Sequence[str],
+        directory: Path,
+        variables: Mapping[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.log_path = directory / f"{name}.log"
         self.paused = False
         self._command = list(command)
         self._directory = directory
+        # Environment variables of the process, beside those of this one.
+        self._variables = dict(variables or {})
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -77,7 +93,7 @@
             self._process = subprocess.Popen(
                 self._command,
                 cwd=self._directory,
-                env=make_environment(),
+                env=make_environment() | self._variables,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -94,6 +110,10 @@
         """Ask for a planned stop."""
         self._send(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Tell the process that its settings have changed."""
+        self._send(signal.SIGHUP)
+
     def pause(self) -> None:
         """Stop the process from running; its connections stay open."""
         self._send(signal.SIGSTOP)
--- a/src/heathermount/soak/checks.py
+++ b/src/heathermount/soak/checks.py
@@ -4,7 +4,7 @@
 in one direction: they report only what the records prove.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
@@ -32,10 +32,14 @@
     "find_visible_keys",
     "find_work_after_drain",
     "find_wrong_organisations",
+    "pick_first",
 ]
 
 REPEATABLE_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 
+# Violations of one check that a report lists.
+MAX_REPORTED: Final = 5
+
 # Requirement G10.
 MAX_SERVERS_LOST: Final = 2
 
@@ -355,3 +359,14 @@
         *find_interrupted_runs(records, data.drains),
         *find_excess_losses(records),
     ]
+
+
+def pick_first(violations: list[Violation]) -> list[Violation]:
+    """Return the first violations of each check."""
+    listed: Counter[str] = Counter()
+    picked = []
+    for violation in violations:
+        listed[violation.check] += 1
+        if listed[violation.check] <= MAX_REPORTED:
+            picked.append(violation)
+    return picked
--- /dev/null
+++ b/src/heathermount/soak/gateway.py
@@ -0,0 +1,375 @@
+"""Soak of gateway nodes: requests under random faults, then all checks.
+
+Run as `python -m heathermount.soak.gateway --seed=N --seconds=N`. Node processes,
+stand-ins of the platform and clients run on this machine; faults come from
+outside the processes. Prints one JSON line and exits with 1 on any violation.
+"""
+
+import asyncio
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import msgspec
+import uvloop
+from absl import flags
+
+from heathermount.gateway.document import (
+    GatewayDocument,
+    OrganisationEntry,
+    RouteEntry,
+    ServiceEntry,
+    Target,
+)
+from heathermount.gateway.http import HttpLimits
+from heathermount.gateway.registry import NODES_PREFIX, NodeRecord
+from heathermount.soak.checks import Violation, pick_first
+from heathermount.soak.instances import Instance
+from heathermount.soak.promises import ClientResult, check_promises
+from heathermount.soak.proxy import Trouble
+from heathermount.soak.troubles import TROUBLES, SoakState
+from heathermount.standins.commandline import end_on_termination, make_flag_values
+from heathermount.standins.platform_client import HOST, send_request
+from heathermount.standins.platform_store import PlatformStoreStandIn
+
+__all__ = ["GatewaySoakReport", "GatewaySoakSettings", "run_gateway_soak"]
+
+SERVICES: Final = ("pantry", "orders")
+
+# Pause between the starts of two faults, in seconds; several overlap.
+MIN_PAUSE_S: Final = 0.1
+MAX_PAUSE_S: Final = 2.0
+
+# Time-out of the routes. An answer that is missing this long after it is a
+# violation at a node that nothing disturbed; the machine may be busy.
+ROUTE_TIMEOUT_S: Final = 2.0
+ANSWER_MARGIN_S: Final = 1.5
+CLIENT_TIMEOUT_S: Final = 6.0
+
+# A new key works everywhere this long after its acknowledgement, in seconds:
+# the bounds of propagation and of an unstable store, together.
+KEY_KNOWN_S: Final = 7.0
+
+# Pause of a client between two requests, in seconds.
+CLIENT_PAUSE_S: Final = 0.05
+CLIENTS_PER_NODE: Final = 2
+
+# The fleet is ready, or serves again, after this time at most, in seconds; then
+# this share of the requests of a calm time must succeed.
+RECOVERY_S: Final = 15.0
+CALM_S: Final = 3.0
+RECOVERED_SHARE: Final = 0.9
+
+RECORD_DECODER: Final = msgspec.msgpack.Decoder(NodeRecord)
+
+
+class GatewaySoakSettings(msgspec.Struct, kw_only=True):
+    """What to run."""
+
+    seed: int = 1
+    seconds: float = 30.0
+    nodes: int = 6
+    # Directory for the nodes' logs and the clients' results; empty: not kept.
+    output: str = ""
+
+
+class GatewaySoakReport(msgspec.Struct, kw_only=True):
+    """Result of a run; lists the first violations of each check."""
+
+    seed: int
+    seconds: float
+    nodes: int
+    faults: dict[str, int]
+    requests: int
+    statuses: dict[str, int]
+    runs: int
+    recovered_share: float
+    violation_counts: dict[str, int]
+    violations: list[Violation]
+
+
+class GatewaySoak:
+    """A fleet of node processes with its store, servers and clients."""
+
+    def __init__(self, settings: GatewaySoakSettings, directory: Path) -> None:
+        self.settings = settings
+        self.random = Random(settings.seed)
+        self.store = PlatformStoreStandIn()
+        self.store.rewrite = self._put_proxy_between
+        self.directory = directory
+        self.instances: list[Instance] = []
+        self.state: SoakState
+        self.results: list[ClientResult] = []
+        self.faults: Counter[str] = Counter()
+        self._clients_end = False
+
+    def _put_proxy_between(self, key: str, value: bytes) -> bytes:
+        """Let the other nodes find a node at its proxy."""
+        if not key.startswith(NODES_PREFIX):
+            return value
+        record = RECORD_DECODER.decode(value)
+        for instance in self.instances:
+            if instance.name == record.node:
+                address = instance.to_node.address
+                record = msgspec.structs.replace(record, address=address)
+        return msgspec.msgpack.encode(record)
+
+    async def run(self) -> GatewaySoakReport:
+        await self.store.start()
+        try:
+            await self._start_fleet()
+            recovered = await self._serve_under_faults()
+        finally:
+            for instance in self.instances:
+                await instance.close()
+            await self.store.stop()
+        return self._make_report(recovered)
+
+    async def _start_fleet(self) -> None:
+        for number in range(self.settings.nodes):
+            service = SERVICES[number % len(SERVICES)]
+            self.instances.append(
+                Instance(
+                    f"n-{number}", service, self.store, self.directory, self.random
+                )
+            )
+        document = make_document()
+        self.state = SoakState(self.store, self.instances, document, self.random)
+        for organisation in document.organisations:
+            self.state.keys[organisation.keys[0]] = time.monotonic() - KEY_KNOWN_S
+        for instance in self.instances:
+            await instance.start(first=True)
+        await self._wait_served(RECOVERY_S)
+
+    async def _serve_under_faults(self) -> float:
+        """Return the share of requests that succeed after the faults."""
+        async with asyncio.TaskGroup() as clients:
+            for instance in self.instances:
+                for number in range(CLIENTS_PER_NODE):
+                    clients.create_task(self._act_as_client(instance, number))
+            await self._cause_faults()
+            await self._end_faults()
+            self._clients_end = True
+        await self._wait_served(RECOVERY_S)
+        before = len(self.results)
+        ends_at = time.monotonic() + CALM_S
+        while time.monotonic() < ends_at:
+            for number, instance in enumerate(self.instances):
+                request_id = f"calm-{len(self.results)}-{number}"
+                await self._send(instance, request_id, self._pick_valid_key())
+        calm = self.results[before:]
+        return sum(result.status == 200 for result in calm) / max(1, len(calm))
+
+    async def _cause_faults(self) -> None:
+        names = list(TROUBLES)
+        ends_at = time.monotonic() + self.settings.seconds
+        async with asyncio.TaskGroup() as faults:
+            while time.monotonic() < ends_at:
+                await asyncio.sleep(self.random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+                name = self.random.choice(names)
+                self.faults[name] += 1
+                faults.create_task(run_trouble(name, self.state))
+                for instance in self.instances:
+                    instance.check_alive()
+
+    async def _end_faults(self) -> None:
+        """Bring everything back that overlapping faults left behind."""
+        for instance in self.instances:
+            instance.resume()
+            instance.to_node.cause(Trouble.NONE)
+            instance.to_store.cause(Trouble.NONE)
+            if instance.server is None:
+                await instance.start_server()
+            else:
+                instance.server.faults = []
+            if not instance.running:
+                instance.start_node()
+
+    async def _wait_served(self, timeout_s: float) -> None:
+        """Wait until a request through each node succeeds, for a bounded time."""
+        ends_at = time.monotonic() + timeout_s
+        waiting = list(self.instances)
+        while waiting and time.monotonic() < ends_at:
+            number = len(self.results)
+            request_id, key = f"probe-{number}", self._pick_valid_key()
+            result = await self._send(waiting[0], request_id, key)
+            if result.status == 200:
+                waiting.pop(0)
+            await asyncio.sleep(CLIENT_PAUSE_S)
+
+    async def _act_as_client(self, instance: Instance, number: int) -> None:
+        sent = 0
+        while not self._clients_end:
+            sent += 1
+            request_id = f"c-{instance.name}-{number}-{sent}"
+            await self._send(instance, request_id, self._pick_any_key())
+            await asyncio.sleep(self.random.uniform(0.5, 1.5) * CLIENT_PAUSE_S)
+
+    async def _send(
+        self, instance: Instance, request_id: str, key: str
+    ) -> ClientResult:
+        idempotent = self.random.random() < 0.5
+        prefix, method = ("/stock/", "GET") if idempotent else ("/order/", "POST")
+        sent_at = time.monotonic()
+        entitled = sent_at - self.state.keys.get(key, sent_at) >= KEY_KNOWN_S
+        result = ClientResult(
+            request_id=request_id,
+            key=key,
+            idempotent=idempotent,
+            node=instance.name,
+            sent_at=sent_at,
+            ended_at=sent_at,
+        )
+        target = prefix + request_id
+        try:
+            async with asyncio.timeout(CLIENT_TIMEOUT_S):
+                status, headers, body = await send_request(
+                    instance.outbound, method, target, request_id, key
+                )
+        except (OSError, EOFError, TimeoutError):
+            # The node was down, paused or ended: nothing is known of the request.
+            status = None
+        else:
+            result.status = status
+            result.whole = status != 200 or is_whole(headers, body, request_id, target)
+        result.ended_at = time.monotonic()
+        # A key that is withdrawn meanwhile may be refused.
+        result.entitled = entitled and key in self.state.keys
+        result.undisturbed = (
+            instance.running and not instance.paused and instance.disturbed_at < sent_at
+        )
+        self.results.append(result)
+        return result
+
+    def _pick_valid_key(self) -> str:
+        return self.random.choice(list(self.state.keys))
+
+    def _pick_any_key(self) -> str:
+        """Return a valid key or one that was withdrawn."""
+        keys = list(self.state.keys) + list(self.state.withdrawn)
+        return self.random.choice(keys)
+
+    def _make_report(self, recovered: float) -> GatewaySoakReport:
+        runs = [run for instance in self.instances for run in instance.runs]
+        violations = check_promises(
+            self.results,
+            runs,
+            self.state.withdrawn,
+            [drain for instance in self.instances for drain in instance.drains],
+            ROUTE_TIMEOUT_S + ANSWER_MARGIN_S,
+        )
+        for instance in self.instances:
+            violations += [
+                Violation("process", instance.name, problem)
+                for problem in instance.problems
+            ]
+        if recovered < RECOVERED_SHARE:
+            detail = f"{recovered:.3f} of the requests after the faults succeeded"
+            violations.append(Violation("not-recovered", "fleet", detail))
+        if self.settings.output:
+            data = b"\n".join(msgspec.json.encode(one) for one in self.results)
+            (self.directory / "results.jsonl").write_bytes(data + b"\n")
+        return GatewaySoakReport(
+            seed=self.settings.seed,
+            seconds=self.settings.seconds,
+            nodes=self.settings.nodes,
+            faults=dict(sorted(self.faults.items())),
+            requests=len(self.results),
+            statuses=dict(
+                sorted(Counter(str(one.status) for one in self.results).items())
+            ),
+            runs=len(runs),
+            recovered_share=round(recovered, 4),
+            violation_counts=Counter(violation.check for violation in violations),
+            violations=pick_first(violations),
+        )
+
+
+async def run_trouble(name: str, state: SoakState) -> None:
+    await TROUBLES[name](state)
+
+
+def is_whole(
+    headers: dict[str, str], body: bytes, request_id: str, target: str
+) -> bool:
+    """Tell whether a success is the backend server's whole answer to a request."""
+    return (
+        headers.get("x-heathermount-request-id") == request_id
+        and "x-heathermount-response-stamp" in headers
+        and body.endswith(f" {target}".encode())
+    )
+
+
+def make_document() -> GatewayDocument:
+    """Return the first configuration: two routes and four organisations."""
+    routes = [
+        RouteEntry(
+            name,
+            HOST,
+            f"/{name}/",
+            [Target(service)],
+            idempotent=idempotent,
+            timeout_s=ROUTE_TIMEOUT_S,
+            objective_s=1.0,
+            priority=1,
+            max_attempts=2,
+            public=False,
+        )
+        for name, service, idempotent in (
+            ("stock", "pantry", True),
+            ("order", "orders", False),
+        )
+    ]
+    return GatewayDocument(
+        1,
+        routes,
+        [ServiceEntry(service, "/health", 100) for service in SERVICES],
+        [OrganisationEntry(f"o-{i}", [f"key-o-{i}"]) for i in range(4)],
+        HttpLimits(),
+    )
+
+
+def run_gateway_soak(settings: GatewaySoakSettings) -> GatewaySoakReport:
+    """Run the soak and return its report."""
+    with tempfile.TemporaryDirectory() as temporary:
+        directory = Path(settings.output or temporary)
+        directory.mkdir(parents=True, exist_ok=True)
+        return uvloop.run(GatewaySoak(settings, directory).run())
+
+
+def main(arguments: list[str]) -> int:
+    """Run the soak and print its report; return the exit code."""
+    values = make_flag_values()
+    defaults = GatewaySoakSettings()
+    flags.DEFINE_integer("seed", defaults.seed, "Random seed.", flag_values=values)
+    flags.DEFINE_float(
+        "seconds", defaults.seconds, "Time under faults.", flag_values=values
+    )
+    flags.DEFINE_integer("nodes", defaults.nodes, "Node processes.", flag_values=values)
+    flags.DEFINE_string(
+        "output", "", "Directory for logs and results.", flag_values=values
+    )
+    values(arguments)
+    end_on_termination()
+    settings = GatewaySoakSettings(
+        seed=values.seed,
+        seconds=values.seconds,
+        nodes=values.nodes,
+        output=values.output,
+    )
+    report = run_gateway_soak(settings)
+    print(msgspec.json.encode(report).decode())
+    return 1 if report.violations else 0
+
+
+def run() -> None:
+    """Entry point of the command."""
+    sys.exit(main(sys.argv))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/heathermount/soak/promises.py
@@ -0,0 +1,117 @@
+"""Checks of a gateway soak: what clients and backend servers saw of each request.
+
+Each check reports only what the records prove.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Final
+
+import msgspec
+
+from heathermount.config.durations import parse_duration
+from heathermount.soak.checks import Violation
+from heathermount.soak.instances import DRAIN, REVOCATION, Run
+
+__all__ = ["ClientResult", "check_promises"]
+
+# Statuses that promise that a request has not run and never will.
+NOT_RUN: Final = frozenset({408, 421, 429, 503})
+# Statuses that a client with a valid key and a known route never gets.
+DENIALS: Final = frozenset({400, 401, 403, 404})
+
+
+class ClientResult(msgspec.Struct, kw_only=True):
+    """One request of a client; times are monotonic, in seconds."""
+
+    request_id: str
+    key: str
+    idempotent: bool
+    node: str
+    sent_at: float
+    ended_at: float
+    # None when no whole answer came.
+    status: int | None = None
+    # Whether a success carried its own identifier, signature and body.
+    whole: bool = True
+    # Whether the key was valid in every configuration that may be in force.
+    entitled: bool = True
+    # Whether the node ran without a signal from before the request to its end.
+    undisturbed: bool = True
+
+
+def check_promises(
+    results: Sequence[ClientResult],
+    runs: Iterable[Run],
+    withdrawn: Mapping[str, float],
+    drains: Iterable[tuple[str, float]],
+    timeout_s: float,
+) -> list[Violation]:
+    """Return all violations of the promises to clients and servers."""
+    by_request: dict[str, list[Run]] = defaultdict(list)
+    for run in runs:
+        by_request[run.request_id].append(run)
+    violations = []
+    for result in results:
+        made = by_request.get(result.request_id, [])
+        violations += check_request(result, made, withdrawn, timeout_s)
+    violations += find_unasked(results, by_request)
+    violations += find_late_runs(by_request, drains)
+    return violations
+
+
+def check_request(
+    result: ClientResult,
+    runs: Sequence[Run],
+    withdrawn: Mapping[str, float],
+    timeout_s: float,
+) -> list[Violation]:
+    """Return the violations that concern one request."""
+    found = []
+    detail = f"node={result.node} status={result.status} runs={len(runs)}"
+    if not result.idempotent and len(runs) > 1:
+        found.append("ran-twice")
+    if not result.idempotent and result.status in NOT_RUN and runs:
+        found.append("false-refusal")
+    if not result.whole:
+        found.append("mixed-answer")
+    if result.entitled and result.status in DENIALS:
+        found.append("denied")
+    withdrawn_at = withdrawn.get(result.key)
+    if withdrawn_at is not None and runs:
+        late_s = result.sent_at - withdrawn_at
+        if late_s > parse_duration(REVOCATION):
+            found.append("withdrawn-key-used")
+            detail += f" late_s={late_s:.2f}"
+    if result.undisturbed and result.ended_at - result.sent_at > timeout_s:
+        found.append("no-answer")
+    return [Violation(check, result.request_id, detail) for check in found]
+
+
+def find_unasked(
+    results: Iterable[ClientResult], by_request: Mapping[str, list[Run]]
+) -> list[Violation]:
+    """Return runs of requests that no client sent."""
+    sent = {result.request_id for result in results}
+    return [
+        Violation("unasked", request_id, f"runs={len(runs)}")
+        for request_id, runs in by_request.items()
+        if request_id not in sent
+    ]
+
+
+def find_late_runs(
+    by_request: Mapping[str, list[Run]], drains: Iterable[tuple[str, float]]
+) -> list[Violation]:
+    """Return runs at servers whose leaving was acknowledged too long before."""
+    left_at = dict(drains)
+    late: Counter[str] = Counter()
+    for runs in by_request.values():
+        for run in runs:
+            since = left_at.get(run.server_id)
+            if since is not None and run.at - since > parse_duration(DRAIN):
+                late[run.server_id] += 1
+    return [
+        Violation("late-at-leaving-server", server, f"requests={count}")
+        for server, count in late.items()
+    ]
--- /dev/null
+++ b/src/heathermount/soak/proxy.py
@@ -0,0 +1,127 @@
+"""A loopback proxy that delays, silences, resets or refuses connections."""
+
+import asyncio
+import socket
+import struct
+from enum import Enum
+from typing import Final
+
+__all__ = ["LoopbackProxy", "Trouble"]
+
+CHUNK_BYTES: Final = 65_536
+
+# Makes a close send a reset: linger for zero seconds.
+LINGER_NONE: Final = struct.pack("ii", 1, 0)
+
+
+class Trouble(Enum):
+    """What happens to the bytes that pass."""
+
+    NONE = "none"
+    # Each piece waits for `delay_s` first.
+    DELAY = "delay"
+    # Bytes in both directions stay in the proxy.
+    SILENT = "silent"
+    # Bytes towards the target stay in the proxy, answers pass.
+    ONE_WAY = "one-way"
+    # Connections are reset, also new ones.
+    RESET = "reset"
+
+
+class LoopbackProxy:
+    """Forwards connections to one address under the trouble that is set."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = ""
+        self.delay_s = 0.0
+        self._trouble = Trouble.NONE
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Break all connections and wait until their tasks have ended."""
+        if self._server is not None:
+            self._server.close()
+        self.cause(Trouble.RESET)
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def cause(self, trouble: Trouble, delay_s: float = 0.0) -> None:
+        """Set the trouble; `Trouble.NONE` ends it."""
+        self._trouble = trouble
+        self.delay_s = delay_s
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+        if trouble is Trouble.RESET:
+            self._abort_all()
+
+    def _abort_all(self) -> None:
+        for writer in list(self._writers):
+            reset(writer)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if self._trouble is Trouble.RESET:
+            reset(writer)
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            there, back = await asyncio.open_connection(host, int(port))
+        except OSError:
+            # The process behind the proxy is down: its callers see the same.
+            reset(writer)
+            return
+        self._writers |= {writer, back}
+        try:
+            await asyncio.gather(
+                self._copy(reader, back, towards_target=True),
+                self._copy(there, writer, towards_target=False),
+            )
+        finally:
+            self._writers -= {writer, back}
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        towards_target: bool,
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                await self._wait_for_passage(towards_target)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            # One side broke the connection, so that the other one sees a break.
+            reset(writer)
+        finally:
+            writer.close()
+
+    async def _wait_for_passage(self, towards_target: bool) -> None:
+        if self._trouble is Trouble.DELAY:
+            await asyncio.sleep(self.delay_s)
+        while self._trouble is Trouble.SILENT or (
+            self._trouble is Trouble.ONE_WAY and towards_target
+        ):
+            await self._changed.wait()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection so that the other side sees a reset."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and not writer.transport.is_closing():
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    writer.transport.abort()
--- a/src/heathermount/soak/soak.py
+++ b/src/heathermount/soak/soak.py
@@ -22,7 +22,7 @@
 from heathermount.runner.fleets import CANCELLI, KETTERING, SMALL
 from heathermount.runner.loads import make_loads, make_shares
 from heathermount.runner.summaries import Summary, summarise
-from heathermount.soak.checks import RunData, Violation, check_all
+from heathermount.soak.checks import RunData, Violation, check_all, pick_first
 from heathermount.soak.faults import FAULTS, OLDER_STORE, SoakState, wait_healed
 from heathermount.standins.commandline import end_on_termination, make_flag_values
 from heathermount.standins.records import CallResult, write_lines
@@ -41,8 +41,6 @@
 RECOVERED_SHARE: Final = 0.9
 
 WATCH_S: Final = 1.0
-# Violations of one check that a report lists.
-MAX_REPORTED: Final = 5
 
 
 class SoakSettings(msgspec.Struct, kw_only=True):
@@ -192,17 +190,6 @@
     )
 
 
-def pick_first(violations: list[Violation]) -> list[Violation]:
-    """Return the first violations of each check."""
-    listed: Counter[str] = Counter()
-    picked = []
-    for violation in violations:
-        listed[violation.check] += 1
-        if listed[violation.check] <= MAX_REPORTED:
-            picked.append(violation)
-    return picked
-
-
 async def keep_output(
     fleet: Fleet, results: list[CallResult], settings: SoakSettings
 ) -> None:
--- /dev/null
+++ b/src/heathermount/soak/troubles.py
@@ -0,0 +1,221 @@
+"""Faults of the gateway soak, caused from outside the node processes.
+
+Each function causes one fault and ends it. Several run at the same time, also on
+the same instance.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Final
+
+import msgspec
+
+from heathermount.gateway.document import GatewayDocument
+from heathermount.soak.instances import Instance
+from heathermount.soak.proxy import LoopbackProxy, Trouble
+from heathermount.standins.platform_operator import encode_configuration
+from heathermount.standins.platform_server import Fault
+from heathermount.standins.platform_store import PlatformStoreStandIn
+
+__all__ = ["TROUBLES", "SoakState"]
+
+# Times that a fault lasts, in seconds: shorter and longer than the time after
+# which a proof of the configuration is too old.
+SHORTEST_S: Final = 0.3
+LONGEST_S: Final = 5.0
+
+DELAY_S: Final = 0.08
+
+# Requests that a faulty server answers wrongly.
+FAULTY_ANSWERS: Final = 15
+
+SERVER_FAULTS: Final = [fault for fault in Fault if fault is not Fault.NONE]
+
+
+class SoakState:
+    """What the faults act on."""
+
+    def __init__(
+        self,
+        store: PlatformStoreStandIn,
+        instances: list[Instance],
+        document: GatewayDocument,
+        random: Random,
+    ) -> None:
+        self.store = store
+        self.instances = instances
+        self.document = document
+        self.random = random
+        # Keys by the time since which every node must know them, and the time of
+        # the acknowledgement with which each key was withdrawn.
+        self.keys: dict[str, float] = {}
+        self.withdrawn: dict[str, float] = {}
+        self.publish()
+
+    def publish(self) -> None:
+        """Write the configuration as the operator."""
+        version = self.document.version + self.random.randint(1, 3)
+        self.document = msgspec.structs.replace(self.document, version=version)
+        self.store.operate("op/config", encode_configuration(self.document))
+
+    def pick(self) -> Instance:
+        return self.random.choice(self.instances)
+
+    def duration(self) -> float:
+        return self.random.uniform(SHORTEST_S, LONGEST_S)
+
+
+async def kill_node(state: SoakState) -> None:
+    instance = state.pick()
+    instance.kill()
+    await asyncio.sleep(state.random.uniform(0.0, 2.0))
+    if not instance.running:
+        instance.start_node()
+
+
+async def kill_many(state: SoakState) -> None:
+    count = max(1, len(state.instances) // 2)
+    chosen = state.random.sample(state.instances, count)
+    for instance in chosen:
+        instance.kill()
+    await asyncio.sleep(state.random.uniform(0.2, 1.5))
+    for instance in chosen:
+        if not instance.running:
+            instance.start_node()
+
+
+async def roll_nodes(state: SoakState) -> None:
+    for instance in state.random.sample(state.instances, 2):
+        if instance.running:
+            await instance.stop()
+        if not instance.running:
+            instance.start_node()
+
+
+async def pause_node(state: SoakState) -> None:
+    instance = state.pick()
+    if not instance.running or instance.paused:
+        return
+    instance.pause()
+    await asyncio.sleep(state.duration())
+    instance.resume()
+
+
+async def reload_nodes(state: SoakState) -> None:
+    for instance in state.random.sample(state.instances, 2):
+        instance.reload()
+        await asyncio.sleep(0.1)
+
+
+async def trouble_proxy(state: SoakState, proxy: LoopbackProxy) -> None:
+    trouble = state.random.choice([one for one in Trouble if one is not Trouble.NONE])
+    proxy.cause(trouble, DELAY_S)
+    await asyncio.sleep(state.duration())
+    proxy.cause(Trouble.NONE)
+
+
+async def trouble_peers(state: SoakState) -> None:
+    await trouble_proxy(state, state.pick().to_node)
+
+
+async def trouble_store_path(state: SoakState) -> None:
+    await trouble_proxy(state, state.pick().to_store)
+
+
+async def cut_node(state: SoakState) -> None:
+    instance = state.pick()
+    proxies = (instance.to_node, instance.to_store)
+    await asyncio.gather(*(trouble_proxy(state, proxy) for proxy in proxies))
+
+
+async def store_down(state: SoakState) -> None:
+    store = state.store
+    attribute = state.random.choice(["down", "silent", "limited", "lose_answers"])
+    setattr(store, attribute, True)
+    await asyncio.sleep(state.duration())
+    setattr(store, attribute, False)
+    # Calls that wait in silence end with their connections.
+    store.cut_connections()
+
+
+async def store_acts_late(state: SoakState) -> None:
+    state.store.act_late_s = state.random.uniform(0.2, 2.0)
+    await asyncio.sleep(state.duration())
+    state.store.act_late_s = 0.0
+
+
+async def drop_history(state: SoakState) -> None:
+    state.store.compact()
+
+
+async def lapse_leases(state: SoakState) -> None:
+    state.store.lapse_leases()
+
+
+async def crash_server(state: SoakState) -> None:
+    instance = state.pick()
+    instance.crash_server()
+    await asyncio.sleep(state.duration())
+    if instance.server is None:
+        await instance.start_server()
+
+
+async def drain_server(state: SoakState) -> None:
+    instance = state.pick()
+    await instance.drain_server()
+    if instance.server is None:
+        await instance.start_server()
+
+
+async def spoil_answers(state: SoakState) -> None:
+    server = state.pick().server
+    if server is not None:
+        fault = state.random.choice(SERVER_FAULTS)
+        server.faults = [fault] * FAULTY_ANSWERS
+
+
+async def withdraw_key(state: SoakState) -> None:
+    """Withdraw the oldest key of an organisation and give it a new one."""
+    organisations = state.document.organisations
+    index = state.random.randrange(len(organisations))
+    known = organisations[index]
+    old = known.keys[0]
+    new = f"key-{known.name}-{state.document.version}"
+    organisations[index] = msgspec.structs.replace(known, keys=[new])
+    state.publish()
+    now = time.monotonic()
+    state.withdrawn[old] = now
+    state.keys.pop(old, None)
+    state.keys[new] = now
+
+
+async def change_configuration(state: SoakState) -> None:
+    for _ in range(state.random.randint(1, 5)):
+        state.publish()
+        await asyncio.sleep(state.random.uniform(0.0, 0.3))
+
+
+TROUBLES: Final[dict[str, Callable[[SoakState], Awaitable[None]]]] = {
+    function.__name__: function
+    for function in (
+        kill_node,
+        kill_many,
+        roll_nodes,
+        pause_node,
+        reload_nodes,
+        trouble_peers,
+        trouble_store_path,
+        cut_node,
+        store_down,
+        store_acts_late,
+        drop_history,
+        lapse_leases,
+        crash_server,
+        drain_server,
+        spoil_answers,
+        withdraw_key,
+        change_configuration,
+    )
+}
--- a/src/heathermount/standins/platform_store.py
+++ b/src/heathermount/standins/platform_store.py
@@ -139,7 +139,8 @@
         body = msgspec.json.decode(request.body) if request.body else {}
         if self.act_late_s and call in ("kv-txn", "kv-lease"):
             self._act_later(call, argument, parameters, body)
-            raise ConnectionError("the answer is lost and the call comes late")
+            self.cut_connections()
+            await asyncio.Event().wait()
         response = await self._answer(call, argument, parameters, body)
         if self.lose_answers and call in ("kv-txn", "kv-lease"):
             self.cut_connections()
--- /dev/null
+++ b/tests/test_gateway_soak.py
@@ -0,0 +1,102 @@
+"""The soak of gateway nodes: its checks, its proxy, and a short seeded run."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from builders_gateway import run_async
+from heathermount.soak.gateway import GatewaySoakSettings, run_gateway_soak
+from heathermount.soak.instances import Run
+from heathermount.soak.promises import ClientResult, check_promises
+from heathermount.soak.proxy import LoopbackProxy, Trouble
+
+
+def make_result(**fields: Any) -> ClientResult:
+    values: dict[str, Any] = {
+        "request_id": "r-1",
+        "key": "k-1",
+        "idempotent": False,
+        "node": "n-1",
+        "sent_at": 10.0,
+        "ended_at": 10.1,
+        "status": 200,
+    } | fields
+    return ClientResult(**values)
+
+
+@pytest.mark.parametrize(
+    ("fields", "runs", "check"),
+    [
+        ({}, 1, None),
+        ({}, 2, "ran-twice"),
+        ({"idempotent": True}, 2, None),
+        ({"status": 503}, 1, "false-refusal"),
+        ({"status": 429}, 0, None),
+        ({"status": 502}, 1, None),
+        ({"whole": False}, 1, "mixed-answer"),
+        ({"status": 401}, 0, "denied"),
+        ({"status": 401, "entitled": False}, 0, None),
+        ({"key": "k-old", "sent_at": 6.9}, 1, None),
+        ({"key": "k-old"}, 1, "withdrawn-key-used"),
+        ({"ended_at": 14.0, "status": None}, 0, "no-answer"),
+        ({"ended_at": 14.0, "status": None, "undisturbed": False}, 0, None),
+    ],
+)
+def test_finds_broken_promises(
+    fields: dict[str, Any], runs: int, check: str | None
+) -> None:
+    """Guards against a soak that passes whatever the nodes do."""
+    made = [Run("r-1", "o-1", "i-1", 10.05) for _ in range(runs)]
+    found = check_promises([make_result(**fields)], made, {"k-old": 2.0}, [], 3.5)
+    assert [one.check for one in found] == ([check] if check else [])
+
+
+def test_finds_runs_that_nobody_asked_for_and_late_ones() -> None:
+    """Guards against requests at leaving servers and requests from nowhere."""
+    made = [Run("r-1", "o-1", "i-1", 10.05), Run("r-2", "o-1", "i-2", 10.0)]
+    found = check_promises([make_result()], made, {}, [("i-1", 8.0)], 3.5)
+    assert {(one.check, one.subject) for one in found} == {
+        ("unasked", "r-2"),
+        ("late-at-leaving-server", "i-1"),
+    }
+
+
+def test_proxy_holds_bytes_back_and_resets() -> None:
+    """Guards against faults that the soak reports but never causes."""
+
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    async def check() -> None:
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        proxy = LoopbackProxy(f"{host}:{port}")
+        await proxy.start()
+        host, _, port = proxy.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for trouble in (Trouble.SILENT, Trouble.ONE_WAY):
+            proxy.cause(trouble)
+            writer.write(b"ping")
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await reader.read(100)
+            proxy.cause(Trouble.NONE)
+            assert await reader.read(100) == b"ping"
+        proxy.cause(Trouble.RESET)
+        with pytest.raises(ConnectionResetError):
+            await reader.read(100)
+        writer.close()
+        await proxy.stop()
+        server.close()
+
+    run_async(check)
+
+
+def test_a_short_soak_breaks_no_promise() -> None:
+    """Guards against broken promises under faults that overlap."""
+    report = run_gateway_soak(GatewaySoakSettings(seed=1, seconds=8.0, nodes=4))
+    assert report.violations == []
+    assert report.requests > 100 and sum(report.faults.values()) >= 3
