Ignore SIGHUP while a node starts

It had been killed and started again, and its settings changed before the process had installed its handler; the default action of SIGHUP ends it. Change: the program that the platform starts ignores SIGHUP before it imports anything. The soak runs that program. Measured: the new test fails without the change (SIGHUP is never ignored) and sends reloads during the whole start. The interpreter's own start, some 10 ms, is not covered.

--- a/src/heathermount/soak/instances.py
+++ b/src/heathermount/soak/instances.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Final
 
+import heathermount
 from heathermount.config.durations import parse_duration
 from heathermount.runner.processes import ManagedProcess, PortReservation
 from heathermount.soak.proxy import LoopbackProxy
@@ -26,6 +27,11 @@
 REVOCATION: Final = "5s"
 GRACE: Final = "6s"
 
+# The program that the platform starts, from the checkout of this package.
+NODE_PROGRAM: Final = (
+    Path(heathermount.__file__).resolve().parents[2] / "deploy" / "heathermount_node.py"
+)
+
 # Period of the heartbeats of backend servers, in seconds.
 BEAT_S: Final = 1.0
 
@@ -84,7 +90,7 @@
         self._random = random
         self._process = ManagedProcess(
             name,
-            [sys.executable, "-c", "from heathermount.platform import run; run()"],
+            [sys.executable, str(NODE_PROGRAM)],
             directory,
             {"HEATHERMOUNT_CONFIG": str(self._settings_path)},
         )
@@ -96,6 +102,10 @@
     def running(self) -> bool:
         return self._process.running
 
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
     @property
     def paused(self) -> bool:
         return self._process.paused
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -1,15 +1,19 @@
 """The soak of gateway nodes: its checks, its proxy, and a short seeded run."""
 
 import asyncio
+import signal
+from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
 
-from builders_gateway import run_async
+from builders_gateway import run_async, wait_for
 from heathermount.soak.gateway import GatewaySoakSettings, run_gateway_soak
-from heathermount.soak.instances import Run
+from heathermount.soak.instances import Instance, Run
 from heathermount.soak.promises import ClientResult, check_promises
 from heathermount.soak.proxy import LoopbackProxy, Trouble
+from heathermount.standins.platform_store import PlatformStoreStandIn
 
 
 def make_result(**fields: Any) -> ClientResult:
@@ -95,6 +99,40 @@
     run_async(check)
 
 
+def ignores_hang_ups(pid: int) -> bool:
+    """Tell whether a process ignores SIGHUP."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, value = line.partition(":")
+        if name == "SigIgn":
+            return bool(int(value, 16) & 1 << (signal.SIGHUP - 1))
+    return False
+
+
+def test_a_starting_node_survives_changes_of_its_settings(tmp_path: Path) -> None:
+    """Guards against SIGHUP that ends a node before its handler is there.
+
+    Found by the soak with seed 102: a node that was killed and started again.
+    """
+
+    async def check() -> None:
+        store = PlatformStoreStandIn()
+        await store.start()
+        instance = Instance("n-0", "pantry", store, tmp_path, Random(1))
+        await instance.to_store.start()
+        instance.start_node()
+        log = tmp_path / "n-0.log"
+        await wait_for(lambda: ignores_hang_ups(instance.pid))
+        while b"event=node-started" not in log.read_bytes():
+            instance.reload()
+            await asyncio.sleep(0.01)
+        instance.check_alive()
+        assert instance.problems == []
+        await instance.close()
+        await store.stop()
+
+    run_async(check)
+
+
 def test_a_short_soak_breaks_no_promise() -> None:
     """Guards against broken promises under faults that overlap."""
     report = run_gateway_soak(GatewaySoakSettings(seed=1, seconds=8.0, nodes=4))
