Write log lines to standard output and never wait for their reader

Change: gateway/logs writes each line at once to standard output; on a pipe that is full it drops the line and counts it in log_lines_dropped.

--- a/src/heathermount/gateway/decisions.py
+++ b/src/heathermount/gateway/decisions.py
@@ -7,6 +7,7 @@
 
 from heathermount.clocks import Clock
 from heathermount.events import FieldValue
+from heathermount.gateway.logs import LineWriter
 
 __all__ = ["DecisionLog"]
 
@@ -18,15 +19,17 @@
 class DecisionLog:
     """Writes a bounded number of lines of each kind and counts the others."""
 
-    __slots__ = ("_clock", "_dropped", "_lines", "_second", "dropped_total")
+    __slots__ = ("_clock", "_dropped", "_left_out", "_lines", "_second", "_writer")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, writer: LineWriter | None = None) -> None:
         self._clock = clock
+        # Where lines go, if it may lose some.
+        self._writer = writer
         self._second = 0
         # Lines written in this second, and left out since the last one, by kind.
         self._lines: Counter[str] = Counter()
         self._dropped: Counter[str] = Counter()
-        self.dropped_total = 0
+        self._left_out = 0
 
     def record(self, kind: str, **fields: FieldValue) -> None:
         """Write a line about one decision, unless too many were written."""
@@ -36,7 +39,7 @@
             self._lines.clear()
         if self._lines[kind] >= LINES_PER_S:
             self._dropped[kind] += 1
-            self.dropped_total += 1
+            self._left_out += 1
             return
         self._lines[kind] += 1
         pairs = "".join(f" {name}={format_value(v)}" for name, v in fields.items())
@@ -44,6 +47,11 @@
         dropped = f" dropped_before={left_out}" if left_out else ""
         logging.info("event=%s%s%s", kind, pairs, dropped)
 
+    def count_dropped(self) -> int:
+        """Return the lines left out here, and those that the reader did not take."""
+        lost = self._writer.lost if self._writer is not None else 0
+        return self._left_out + lost
+
 
 def format_value(value: FieldValue) -> str:
     if isinstance(value, float):
--- /dev/null
+++ b/src/heathermount/gateway/logs.py
@@ -0,0 +1,54 @@
+"""Log lines on standard output that never wait for their reader."""
+
+import os
+import stat
+from typing import Final
+
+from absl import flags, logging
+
+__all__ = ["LineWriter", "start_logging"]
+
+STANDARD_OUTPUT: Final = 1
+
+
+class LineWriter:
+    """Writes whole lines to a descriptor, or drops and counts them.
+
+    A pipe whose reader has stopped would block the whole node. Lines that are
+    shorter than the pipe's atomic size are written whole or not at all.
+    """
+
+    __slots__ = ("_descriptor", "lost")
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        # Lines that were dropped because the reader was too slow.
+        self.lost = 0
+        mode = os.fstat(descriptor).st_mode
+        # Terminals and files do not stop reading; a terminal is shared with
+        # programs that expect it to block.
+        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
+            os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> None:
+        data = text.encode("utf-8", "backslashreplace")
+        try:
+            os.write(self._descriptor, data)
+        except BlockingIOError:
+            self.lost += 1
+
+    def flush(self) -> None:
+        """Do nothing: each line is written at once."""
+
+
+def start_logging() -> LineWriter:
+    """Send log lines to standard output; return their writer."""
+    if not flags.FLAGS.is_parsed():
+        # absl writes to standard error until its flags are parsed; the node has
+        # no flags of its own.
+        flags.FLAGS.mark_as_parsed()
+    writer = LineWriter(STANDARD_OUTPUT)
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.get_absl_handler().python_handler.stream = writer
+    return writer
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -125,12 +125,12 @@
         dialect: Dialect,
         clock: Clock,
         random: Random,
+        log: DecisionLog,
     ) -> None:
         node = settings.node
         self._settings = settings
         self._dialect = dialect
         self._clock = clock
-        log = DecisionLog(clock)
         self._log = log
         self._store = store
         self._metrics = GatewayMetrics(self._read_gauges)
@@ -211,8 +211,9 @@
         reader: ConfigurationReader,
         dialect: Dialect,
         clock: Clock,
+        log: DecisionLog,
     ) -> Self:
-        return cls(settings, store, reader, dialect, clock, Random())
+        return cls(settings, store, reader, dialect, clock, Random(), log)
 
     def stop(self) -> None:
         """Begin a graceful stop."""
@@ -303,7 +304,7 @@
             "nodes": float(len(self.registry.nodes)),
             "links_usable": float(self._links.count_usable()),
             "clients": float(len(self._clients)),
-            "log_lines_dropped": float(self._log.dropped_total),
+            "log_lines_dropped": float(self._log.count_dropped()),
         }
         if load is not None:
             gauges["server_running"] = float(load.running)
--- a/src/heathermount/platform/daemon.py
+++ b/src/heathermount/platform/daemon.py
@@ -7,10 +7,11 @@
 from typing import Final
 
 import uvloop
-from absl import logging
 
 from heathermount.clocks import SystemClock
 from heathermount.gateway import GatewayNode, GatewaySettings
+from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.logs import LineWriter, start_logging
 from heathermount.gateway.reloading import SettingsReloader
 from heathermount.platform.dialect import PlatformDialect
 from heathermount.platform.heartbeats import HeartbeatListener
@@ -25,15 +26,17 @@
 EXIT_BAD_SETTINGS: Final = 2
 
 
-async def serve(settings: GatewaySettings, path: str) -> None:
+async def serve(settings: GatewaySettings, path: str, writer: LineWriter) -> None:
     """Run a node until SIGTERM; then stop it gracefully."""
+    clock = SystemClock()
     store = PlatformStore.from_config(settings.store.endpoint, settings.store.timeout_s)
     node = GatewayNode.from_config(
         settings,
         store,
         PlatformConfigurationReader(store),
         PlatformDialect(),
-        SystemClock(),
+        clock,
+        DecisionLog(clock, writer),
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, node.stop)
@@ -47,8 +50,7 @@
 
 def main() -> int:
     """Check the settings and serve; return the exit code."""
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
+    writer = start_logging()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
         print(f"set {SETTINGS_VARIABLE} to the settings file", file=sys.stderr)
@@ -61,7 +63,7 @@
             print(problem, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(settings, path))
+        runner.run(serve(settings, path, writer))
     return 0
 
 
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -274,6 +274,7 @@
             PlatformDialect(),
             SystemClock(),
             Random(1),
+            DecisionLog(SystemClock()),
         )
         self.task: asyncio.Task[None] | None = None
         self.sequence = 0
