Tell a stopping node of the soak from its successor

The log of n-2 shows its stop at 09:36:03.9 and a new start at 09:36:04.6: another fault had killed the stopping process and started the next one, for which the check then waited. Ruled out: a node that does not end; it was dead 0.7 s after SIGTERM. Change: the check ends when the process id has changed, and a pause during the stop is recognised by its own time instead of a guess.

--- a/src/heathermount/soak/instances.py
+++ b/src/heathermount/soak/instances.py
@@ -186,11 +186,15 @@
         """Stop the node gracefully; note a problem when it does not end in time."""
         self._stopping = True
         self.disturbed_at = time.monotonic()
+        stopped, pid = self.disturbed_at, self.pid
         self._process.terminate()
         code = await self._process.wait(parse_duration(GRACE) + EXIT_MARGIN_S)
+        if self.pid != pid:
+            # Another fault has killed it and started the next process.
+            return
         if code is None:
-            # A paused process cannot end, and gets the signal when it goes on.
-            if time.monotonic() - self.disturbed_at > parse_duration(GRACE):
+            # A process that was paused meanwhile had less time to end.
+            if self.disturbed_at == stopped:
                 self.problems.append("still there after the grace period")
             self.kill()
         elif code not in (0, -signal.SIGKILL):
