--- a/src/heathermount/soak/gateway.py
+++ b/src/heathermount/soak/gateway.py
@@ -138,7 +138,7 @@
                 )
             )
         document = make_document()
-        self.state = SoakState(self.store, self.instances, document, self.random)
+        self.state = SoakState(self.store, self.instances, document)
         for organisation in document.organisations:
             self.state.keys[organisation.keys[0]] = time.monotonic() - KEY_KNOWN_S
         for instance in self.instances:
@@ -166,13 +166,15 @@
 
     async def _cause_faults(self) -> None:
         names = list(TROUBLES)
+        random = Random(f"faults-{self.settings.seed}")
         ends_at = time.monotonic() + self.settings.seconds
         async with asyncio.TaskGroup() as faults:
             while time.monotonic() < ends_at:
-                await asyncio.sleep(self.random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
-                name = self.random.choice(names)
+                await asyncio.sleep(random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+                name = random.choice(names)
                 self.faults[name] += 1
-                faults.create_task(run_trouble(name, self.state))
+                own_random = Random(random.random())
+                faults.create_task(run_trouble(name, self.state, own_random))
                 for instance in self.instances:
                     instance.check_alive()
 
@@ -289,8 +291,8 @@
         )
 
 
-async def run_trouble(name: str, state: SoakState) -> None:
-    await TROUBLES[name](state)
+async def run_trouble(name: str, state: SoakState, random: Random) -> None:
+    await TROUBLES[name](state, random)
 
 
 def is_whole(
--- a/src/heathermount/soak/troubles.py
+++ b/src/heathermount/soak/troubles.py
@@ -1,7 +1,8 @@
 """Faults of the gateway soak, caused from outside the node processes.
 
 Each function causes one fault and ends it. Several run at the same time, also on
-the same instance.
+the same instance. Each gets random numbers of its own, so that a seed repeats the
+same faults whatever the clients do meanwhile.
 """
 
 import asyncio
@@ -28,6 +29,9 @@
 
 DELAY_S: Final = 0.08
 
+# Versions of the operator's configuration rise in steps larger than one.
+VERSION_STEP: Final = 3
+
 # Requests that a faulty server answers wrongly.
 FAULTY_ANSWERS: Final = 15
 
@@ -42,12 +46,10 @@
         store: PlatformStoreStandIn,
         instances: list[Instance],
         document: GatewayDocument,
-        random: Random,
     ) -> None:
         self.store = store
         self.instances = instances
         self.document = document
-        self.random = random
         # Keys by the time since which every node must know them, and the time of
         # the acknowledgement with which each key was withdrawn.
         self.keys: dict[str, float] = {}
@@ -56,130 +58,132 @@
 
     def publish(self) -> None:
         """Write the configuration as the operator."""
-        version = self.document.version + self.random.randint(1, 3)
+        version = self.document.version + VERSION_STEP
         self.document = msgspec.structs.replace(self.document, version=version)
         self.store.operate("op/config", encode_configuration(self.document))
 
-    def pick(self) -> Instance:
-        return self.random.choice(self.instances)
 
-    def duration(self) -> float:
-        return self.random.uniform(SHORTEST_S, LONGEST_S)
+def pick(state: SoakState, random: Random) -> Instance:
+    return random.choice(state.instances)
+
+
+def choose_duration(random: Random) -> float:
+    return random.uniform(SHORTEST_S, LONGEST_S)
 
 
-async def kill_node(state: SoakState) -> None:
-    instance = state.pick()
+async def kill_node(state: SoakState, random: Random) -> None:
+    instance = pick(state, random)
     instance.kill()
-    await asyncio.sleep(state.random.uniform(0.0, 2.0))
+    await asyncio.sleep(random.uniform(0.0, 2.0))
     if not instance.running:
         instance.start_node()
 
 
-async def kill_many(state: SoakState) -> None:
+async def kill_many(state: SoakState, random: Random) -> None:
     count = max(1, len(state.instances) // 2)
-    chosen = state.random.sample(state.instances, count)
+    chosen = random.sample(state.instances, count)
     for instance in chosen:
         instance.kill()
-    await asyncio.sleep(state.random.uniform(0.2, 1.5))
+    await asyncio.sleep(random.uniform(0.2, 1.5))
     for instance in chosen:
         if not instance.running:
             instance.start_node()
 
 
-async def roll_nodes(state: SoakState) -> None:
-    for instance in state.random.sample(state.instances, 2):
+async def roll_nodes(state: SoakState, random: Random) -> None:
+    for instance in random.sample(state.instances, 2):
         if instance.running:
             await instance.stop()
         if not instance.running:
             instance.start_node()
 
 
-async def pause_node(state: SoakState) -> None:
-    instance = state.pick()
+async def pause_node(state: SoakState, random: Random) -> None:
+    instance = pick(state, random)
     if not instance.running or instance.paused:
         return
     instance.pause()
-    await asyncio.sleep(state.duration())
+    await asyncio.sleep(choose_duration(random))
     instance.resume()
 
 
-async def reload_nodes(state: SoakState) -> None:
-    for instance in state.random.sample(state.instances, 2):
+async def reload_nodes(state: SoakState, random: Random) -> None:
+    for instance in random.sample(state.instances, 2):
         instance.reload()
         await asyncio.sleep(0.1)
 
 
-async def trouble_proxy(state: SoakState, proxy: LoopbackProxy) -> None:
-    trouble = state.random.choice([one for one in Trouble if one is not Trouble.NONE])
+async def trouble_proxy(proxy: LoopbackProxy, random: Random) -> None:
+    trouble = random.choice([one for one in Trouble if one is not Trouble.NONE])
     proxy.cause(trouble, DELAY_S)
-    await asyncio.sleep(state.duration())
+    await asyncio.sleep(choose_duration(random))
     proxy.cause(Trouble.NONE)
 
 
-async def trouble_peers(state: SoakState) -> None:
-    await trouble_proxy(state, state.pick().to_node)
+async def trouble_peers(state: SoakState, random: Random) -> None:
+    await trouble_proxy(pick(state, random).to_node, random)
 
 
-async def trouble_store_path(state: SoakState) -> None:
-    await trouble_proxy(state, state.pick().to_store)
+async def trouble_store_path(state: SoakState, random: Random) -> None:
+    await trouble_proxy(pick(state, random).to_store, random)
 
 
-async def cut_node(state: SoakState) -> None:
-    instance = state.pick()
+async def cut_node(state: SoakState, random: Random) -> None:
+    instance = pick(state, random)
     proxies = (instance.to_node, instance.to_store)
-    await asyncio.gather(*(trouble_proxy(state, proxy) for proxy in proxies))
+    await asyncio.gather(*(trouble_proxy(proxy, random) for proxy in proxies))
 
 
-async def store_down(state: SoakState) -> None:
+async def store_down(state: SoakState, random: Random) -> None:
     store = state.store
-    attribute = state.random.choice(["down", "silent", "limited", "lose_answers"])
+    attribute = random.choice(["down", "silent", "limited", "lose_answers"])
     setattr(store, attribute, True)
-    await asyncio.sleep(state.duration())
+    await asyncio.sleep(choose_duration(random))
     setattr(store, attribute, False)
     # Calls that wait in silence end with their connections.
     store.cut_connections()
 
 
-async def store_acts_late(state: SoakState) -> None:
-    state.store.act_late_s = state.random.uniform(0.2, 2.0)
-    await asyncio.sleep(state.duration())
+async def store_acts_late(state: SoakState, random: Random) -> None:
+    state.store.act_late_s = random.uniform(0.2, 2.0)
+    await asyncio.sleep(choose_duration(random))
     state.store.act_late_s = 0.0
 
 
-async def drop_history(state: SoakState) -> None:
+async def drop_history(state: SoakState, random: Random) -> None:
     state.store.compact()
 
 
-async def lapse_leases(state: SoakState) -> None:
+async def lapse_leases(state: SoakState, random: Random) -> None:
     state.store.lapse_leases()
 
 
-async def crash_server(state: SoakState) -> None:
-    instance = state.pick()
+async def crash_server(state: SoakState, random: Random) -> None:
+    instance = pick(state, random)
     instance.crash_server()
-    await asyncio.sleep(state.duration())
+    await asyncio.sleep(choose_duration(random))
     if instance.server is None:
         await instance.start_server()
 
 
-async def drain_server(state: SoakState) -> None:
-    instance = state.pick()
+async def drain_server(state: SoakState, random: Random) -> None:
+    instance = pick(state, random)
     await instance.drain_server()
     if instance.server is None:
         await instance.start_server()
 
 
-async def spoil_answers(state: SoakState) -> None:
-    server = state.pick().server
+async def spoil_answers(state: SoakState, random: Random) -> None:
+    server = pick(state, random).server
     if server is not None:
-        fault = state.random.choice(SERVER_FAULTS)
+        fault = random.choice(SERVER_FAULTS)
         server.faults = [fault] * FAULTY_ANSWERS
 
 
-async def withdraw_key(state: SoakState) -> None:
+async def withdraw_key(state: SoakState, random: Random) -> None:
     """Withdraw the oldest key of an organisation and give it a new one."""
     organisations = state.document.organisations
-    index = state.random.randrange(len(organisations))
+    index = random.randrange(len(organisations))
     known = organisations[index]
     old = known.keys[0]
     new = f"key-{known.name}-{state.document.version}"
@@ -191,13 +195,13 @@
     state.keys[new] = now
 
 
-async def change_configuration(state: SoakState) -> None:
-    for _ in range(state.random.randint(1, 5)):
+async def change_configuration(state: SoakState, random: Random) -> None:
+    for _ in range(random.randint(1, 5)):
         state.publish()
-        await asyncio.sleep(state.random.uniform(0.0, 0.3))
+        await asyncio.sleep(random.uniform(0.0, 0.3))
 
 
-TROUBLES: Final[dict[str, Callable[[SoakState], Awaitable[None]]]] = {
+TROUBLES: Final[dict[str, Callable[[SoakState, Random], Awaitable[None]]]] = {
     function.__name__: function
     for function in (
         kill_node,
