Allow SIGTERM to end a node of the soak that is still importing

The logs show no node-started line of the process that was stopped: the signal came before its handler was installed, and the process had served nothing. Change: the check allows exactly that case.

--- a/src/heathermount/soak/instances.py
+++ b/src/heathermount/soak/instances.py
@@ -95,6 +95,8 @@
             {"HEATHERMOUNT_CONFIG": str(self._settings_path)},
         )
         self._starts = 0
+        # Size of the log before the present process, in bytes.
+        self._log_size = 0
         self._beats: asyncio.Task[None] | None = None
         self._stopping = False
 
@@ -129,6 +131,8 @@
         self._write_settings(first)
         self._stopping = False
         self.disturbed_at = time.monotonic()
+        log_path = self._process.log_path
+        self._log_size = log_path.stat().st_size if log_path.exists() else 0
         self._process.start()
 
     def _write_settings(self, first: bool, repeat_ratio: float = 0.2) -> None:
@@ -197,9 +201,17 @@
             if self.disturbed_at == stopped:
                 self.problems.append("still there after the grace period")
             self.kill()
+        elif code == -signal.SIGTERM and not self._announced_start():
+            # It was still importing and had served nothing.
+            return
         elif code not in (0, -signal.SIGKILL):
             self.problems.append(f"exit code {code} after SIGTERM")
 
+    def _announced_start(self) -> bool:
+        """Tell whether the present process has logged its start."""
+        log = self._process.log_path.read_bytes()
+        return b"event=node-started" in log[self._log_size :]
+
     def check_alive(self) -> None:
         """Note a node that ended by itself."""
         if self._process.returncode is not None and not self._stopping:
