Keep the platform's names in the stand-ins

Cause: the gateway soak named the store's key of the configuration, headers and fields of heartbeats itself; the test builders wrote the same heartbeat. Change: the operator's stand-in publishes, the server's makes heartbeats and tells the organisation, the client's checks answers; soak and tests use them.

--- a/src/heathermount/soak/gateway.py
+++ b/src/heathermount/soak/gateway.py
@@ -33,7 +33,7 @@
 from heathermount.soak.proxy import Trouble
 from heathermount.soak.troubles import TROUBLES, SoakState
 from heathermount.standins.commandline import end_on_termination, make_flag_values
-from heathermount.standins.platform_client import HOST, send_request
+from heathermount.standins.platform_client import HOST, is_whole, send_request
 from heathermount.standins.platform_store import PlatformStoreStandIn
 
 __all__ = ["GatewaySoakReport", "GatewaySoakSettings", "run_gateway_soak"]
@@ -295,17 +295,6 @@
     await TROUBLES[name](state, random)
 
 
-def is_whole(
-    headers: dict[str, str], body: bytes, request_id: str, target: str
-) -> bool:
-    """Tell whether a success is the backend server's whole answer to a request."""
-    return (
-        headers.get("x-heathermount-request-id") == request_id
-        and "x-heathermount-response-stamp" in headers
-        and body.endswith(f" {target}".encode())
-    )
-
-
 def make_document() -> GatewayDocument:
     """Return the first configuration: two routes and four organisations."""
     routes = [
--- a/src/heathermount/soak/instances.py
+++ b/src/heathermount/soak/instances.py
@@ -226,7 +226,7 @@
         server = PlatformServerStandIn(server_id)
 
         async def work(request: ServedRequest) -> int:
-            organisation = request.headers.get("x-heathermount-tenant", "")
+            organisation = request.organisation
             now = time.monotonic()
             self.runs.append(Run(request.request_id, organisation, server_id, now))
             await asyncio.sleep(self._random.uniform(0.5, 1.5) * WORK_S)
@@ -268,19 +268,9 @@
         self, server: PlatformServerStandIn, sequence: int, state: str
     ) -> bool:
         """Send a heartbeat; tell whether the node acknowledged it."""
-        body = {
-            "Service": self.service,
-            "Address": server.address,
-            "Zone": "d",
-            "Version": "v1",
-            "Slots": SLOTS,
-            "State": state,
-            "ColdRemaining": "0ms",
-            "Sequence": sequence,
-            "born": self._starts,
-        }
-        path = f"/heathermount/instances/{server.server_id}"
-        data = json.dumps(body).encode()
+        path, data = server.make_heartbeat(
+            self.service, SLOTS, sequence, state, self._starts
+        )
         try:
             async with asyncio.timeout(1.0):
                 status, _, _ = await send_request(self._control, "PUT", path, body=data)
--- a/src/heathermount/soak/troubles.py
+++ b/src/heathermount/soak/troubles.py
@@ -16,7 +16,7 @@
 from heathermount.gateway.document import GatewayDocument
 from heathermount.soak.instances import Instance
 from heathermount.soak.proxy import LoopbackProxy, Trouble
-from heathermount.standins.platform_operator import encode_configuration
+from heathermount.standins.platform_operator import publish_configuration
 from heathermount.standins.platform_server import Fault
 from heathermount.standins.platform_store import PlatformStoreStandIn
 
@@ -60,7 +60,7 @@
         """Write the configuration as the operator."""
         version = self.document.version + VERSION_STEP
         self.document = msgspec.structs.replace(self.document, version=version)
-        self.store.operate("op/config", encode_configuration(self.document))
+        publish_configuration(self.store, self.document)
 
 
 def pick(state: SoakState, random: Random) -> Instance:
--- a/src/heathermount/standins/platform_client.py
+++ b/src/heathermount/standins/platform_client.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Final
 
-__all__ = ["HOST", "KEY", "read_response", "send_request"]
+__all__ = ["HOST", "KEY", "is_whole", "read_response", "send_request"]
 
 # Host and key of requests that name none.
 HOST: Final = "shop.example"
@@ -50,3 +50,14 @@
         if name:
             headers[name.lower()] = value
     return status, headers, await reader.readexactly(int(headers["content-length"]))
+
+
+def is_whole(
+    headers: dict[str, str], body: bytes, request_id: str, target: str
+) -> bool:
+    """Tell whether a success is the backend server's whole answer to a request."""
+    return (
+        headers.get("x-heathermount-request-id") == request_id
+        and "x-heathermount-response-stamp" in headers
+        and body.endswith(f" {target}".encode())
+    )
--- a/src/heathermount/standins/platform_operator.py
+++ b/src/heathermount/standins/platform_operator.py
@@ -1,10 +1,21 @@
 """The platform's operator: writes configurations to the store."""
 
 import json
+from typing import Final
 
 from heathermount.gateway.document import GatewayDocument
+from heathermount.standins.platform_store import PlatformStoreStandIn
 
-__all__ = ["encode_configuration"]
+__all__ = ["encode_configuration", "publish_configuration"]
+
+CONFIGURATION_KEY: Final = "op/config"
+
+
+def publish_configuration(
+    store: PlatformStoreStandIn, document: GatewayDocument
+) -> None:
+    """Write a configuration to the store."""
+    store.operate(CONFIGURATION_KEY, encode_configuration(document))
 
 
 def encode_configuration(document: GatewayDocument) -> bytes:
--- a/src/heathermount/standins/platform_server.py
+++ b/src/heathermount/standins/platform_server.py
@@ -1,6 +1,7 @@
 """Stand-in of a backend server on the platform, with faulty answers on demand."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import Final
@@ -50,6 +51,10 @@
     def request_id(self) -> str:
         return self.headers.get("x-heathermount-request-id", "")
 
+    @property
+    def organisation(self) -> str:
+        return self.headers.get("x-heathermount-tenant", "")
+
 
 class PlatformServerStandIn:
     """One backend server: runs requests, remembers them, answers with faults.
@@ -84,6 +89,23 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def make_heartbeat(
+        self, service: str, slots: int, sequence: int, state: str, born_ms: int
+    ) -> tuple[str, bytes]:
+        """Return the path and the body of a heartbeat."""
+        body = {
+            "Service": service,
+            "Address": self.address,
+            "Zone": "a",
+            "Version": "v1",
+            "Slots": slots,
+            "State": state,
+            "ColdRemaining": "0ms",
+            "Sequence": sequence,
+            "born": born_ms,
+        }
+        return f"/heathermount/instances/{self.server_id}", json.dumps(body).encode()
+
     def ids(self) -> list[str]:
         return [request.request_id for request in self.served]
 
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -1,7 +1,6 @@
 """Builders of gateway nodes, their configuration, and what surrounds them."""
 
 import asyncio
-import json
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
@@ -293,22 +292,11 @@
     async def beat(self, state: str = "ready") -> int:
         """Send a heartbeat of the backend server; return the status."""
         self.sequence += 1
-        body = {
-            "Service": self.settings.node.service,
-            "Address": self.server.address,
-            "Zone": "a",
-            "Version": "v1",
-            "Slots": 8,
-            "State": state,
-            "ColdRemaining": "0ms",
-            "Sequence": self.sequence,
-            "born": 1,
-        }
+        path, body = self.server.make_heartbeat(
+            self.settings.node.service, 8, self.sequence, state, 1
+        )
         status, _, _ = await send_request(
-            self.settings.listen.control,
-            "PUT",
-            f"/heathermount/instances/{self.server.server_id}",
-            body=json.dumps(body).encode(),
+            self.settings.listen.control, "PUT", path, body=body
         )
         return status
 
