Log departures of unknown servers and heartbeats that come late

Cause: a DELETE of a server that the process does not know, and a heartbeat older than the known one, left no line; server-leaving did not name the server.

Change: departure-unknown, heartbeat-older and run-after-departure (how long after the departure a request was sent); server-announced and server-leaving name the start of the server and the number of the heartbeat that decided it. Lines are bounded in number by the decision log. No decision changes.

--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -150,6 +150,16 @@
         """Take what the backend server says of itself; older news is ignored."""
         known = self.announcement
         if known is not None and not announcement.follows(known):
+            self._log.record(
+                "heartbeat-older",
+                server=announcement.server_id,
+                born_ms=announcement.born_ms,
+                sequence=announcement.sequence,
+                draining=announcement.draining,
+                known_server=known.server_id,
+                known_born_ms=known.born_ms,
+                known_sequence=known.sequence,
+            )
             return
         self.announcement = announcement
         self._last_sign_at = self._clock.monotonic()
@@ -165,6 +175,12 @@
         known = self.announcement
         if known is not None and known.server_id == server_id:
             self._leave("gone")
+            return
+        self._log.record(
+            "departure-unknown",
+            server=server_id,
+            known_server=known.server_id if known is not None else "",
+        )
 
     def _start(self, announcement: Announcement) -> None:
         if self._pool is not None:
@@ -182,8 +198,11 @@
         )
         self.leaving = False
         logging.info(
-            "event=server-announced server=%s slots=%d cold_s=%.1f",
+            "event=server-announced server=%s born_ms=%d sequence=%d slots=%d "
+            "cold_s=%.1f",
             announcement.server_id,
+            announcement.born_ms,
+            announcement.sequence,
             announcement.slots,
             announcement.cold_start_s,
         )
@@ -196,7 +215,15 @@
             return
         self.leaving = True
         self._left_at = self._clock.monotonic()
-        logging.info("event=server-leaving cause=%s running=%d", cause, self.active)
+        known = self.announcement
+        logging.info(
+            "event=server-leaving cause=%s server=%s born_ms=%d sequence=%d running=%d",
+            cause,
+            known.server_id if known is not None else "",
+            known.born_ms if known is not None else 0,
+            known.sequence if known is not None else 0,
+            self.active,
+        )
         self._updated()
 
     def _connections(self) -> int:
@@ -312,6 +339,13 @@
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0.0:
             raise make_refusal(Reason.DEADLINE, Outcome.NOT_RUN)
+        if self.leaving:
+            self._log.record(
+                "run-after-departure",
+                request=message.request_id.decode("latin-1"),
+                server=announcement.server_id,
+                left_s=self._clock.monotonic() - self._left_at,
+            )
         data = self._encode(message, announcement.server_id, remaining_s)
         head = message.method == b"HEAD"
         try:
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -1,6 +1,7 @@
 """The node beside a backend server: what runs, what is refused, and when."""
 
 import asyncio
+import logging
 
 import pytest
 
@@ -314,3 +315,31 @@
         place.server.stop()
 
     run_async(check)
+
+
+def test_logs_tell_what_a_departure_and_a_late_heartbeat_changed(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against an acknowledged departure that leaves no line in the log."""
+
+    async def check() -> None:
+        place = Place()
+        await place.start()
+        execution = place.execution
+        execution.withdraw("i-other")
+        execution.announce(make_announcement(place.server.address, sequence=0))
+        execution.withdraw("i-1")
+        place.server.stop()
+
+    with caplog.at_level(logging.INFO, logger="absl"):
+        run_async(check)
+    lines = [record.getMessage() for record in caplog.records]
+    assert any("event=departure-unknown server=i-other" in line for line in lines)
+    assert any(
+        "event=heartbeat-older server=i-1" in line and "known_sequence=1" in line
+        for line in lines
+    )
+    assert any(
+        "event=server-leaving cause=gone server=i-1 born_ms=1 sequence=1" in line
+        for line in lines
+    )
