Add failing tests for departures that a node forgets

A node drops a DELETE of a server that it does not know yet, and everything it acknowledged with the end of its process; the next late heartbeat makes the server look new.

--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -265,9 +265,19 @@
         self.settings = settings
         self.server = server
         self._proxy = proxy
-        store = PlatformStore.from_config(settings.store.endpoint, 1.0)
+        self.node: GatewayNode
+        self.task: asyncio.Task[None] | None = None
+        self.sequence = 0
+
+    async def start(self) -> None:
+        await self.start_process()
+        assert await self.beat() == 200
+
+    async def start_process(self) -> None:
+        """Start the node without a heartbeat of its server."""
+        store = PlatformStore.from_config(self.settings.store.endpoint, 1.0)
         self.node = GatewayNode(
-            settings,
+            self.settings,
             store,
             PlatformConfigurationReader(store),
             PlatformDialect(),
@@ -275,15 +285,14 @@
             Random(1),
             DecisionLog(SystemClock()),
         )
-        self.task: asyncio.Task[None] | None = None
-        self.sequence = 0
-
-    async def start(self) -> None:
         service = self.settings.node.service
         heartbeats = HeartbeatListener(self.node.execution, service)
         self.task = asyncio.create_task(self.node.run(heartbeats.handle))
         await wait_for(lambda: not self.node.unready_reasons())
-        assert await self.beat() == 200
+
+    async def kill(self) -> None:
+        """End the node at once; its server goes on."""
+        await self.stop()
 
     async def cut_from_store(self) -> None:
         """Cut this node, and no other one, from the store."""
--- /dev/null
+++ b/tests/test_gateway_departures.py
@@ -0,0 +1,71 @@
+"""Backend servers that leave: what a node remembers of it, and what it still sends."""
+
+import asyncio
+
+from builders_gateway import (
+    RunningNode,
+    make_announcement,
+    make_execute,
+    make_execution,
+    make_tracker,
+    run_async,
+    run_fleet,
+    wait_for,
+)
+from heathermount.clocks import ManualClock
+from heathermount.standins.platform_client import KEY, send_request
+from heathermount.standins.platform_server import PlatformServerStandIn
+from heathermount.values import Outcome
+
+
+async def leave(one: RunningNode) -> int:
+    """Tell a node that its server leaves; return the status."""
+    path, _ = one.server.make_heartbeat("pantry", 8, 1, "ready", 1)
+    status, _, _ = await send_request(one.settings.listen.control, "DELETE", path)
+    return status
+
+
+def test_a_late_heartbeat_does_not_start_a_server_that_left_unannounced() -> None:
+    """Guards against work for a server whose DELETE came before its heartbeat."""
+
+    async def check() -> None:
+        clock = ManualClock()
+        server = PlatformServerStandIn("i-1")
+        await server.start()
+        execution = make_execution(clock, make_tracker(clock))
+        execution.withdraw("i-1")
+        execution.announce(make_announcement(server.address, sequence=7))
+        answer = await execution.execute(make_execute())
+        assert answer.outcome == Outcome.NOT_RUN
+        assert not server.served
+        assert not execution.serving
+        # A later start under the same name serves.
+        born_ms = int(clock.wall() * 1000) + 1
+        execution.announce(make_announcement(server.address, born_ms=born_ms))
+        assert (await execution.execute(make_execute())).outcome == Outcome.RAN
+        server.stop()
+
+    run_async(check)
+
+
+def test_a_restarted_node_does_not_start_a_server_that_left_before() -> None:
+    """Guards against a departure that is forgotten with the process."""
+
+    async def check() -> None:
+        async with run_fleet() as (_, nodes):
+            leaving = nodes[0]
+            assert await leave(leaving) == 200
+            await leaving.kill()
+            await leaving.start_process()
+            # A heartbeat that was sent before the departure.
+            assert await leaving.beat("ready") == 200
+            await asyncio.sleep(0.2)
+            assert not leaving.node.execution.serving
+            status, _, body = await nodes[1].request(key=KEY)
+            assert (status, body) == (200, b"i-1 /stock/1")
+            await wait_for(
+                lambda: leaving.settings.node.name in nodes[1].node.registry.nodes
+            )
+            assert not leaving.server.served
+
+    run_async(check)
