Keep a start of a backend server that has left out of service for good

A DELETE of a server that the node did not know was answered 200 and dropped; in the same process a heartbeat with other slots or another address, or one with ready after draining, started a server that had left. A late heartbeat was enough, and many departures come with one 2.1 to 2.3 s later.

Change: departures are kept by server and start and are final: only a later start serves. A DELETE of an unknown server covers its starts until now. Whether the server serves is decided in gateway/lifecycle, without a network, instead of in Execution.

Ruled out: stale views of other nodes, since only the node beside a server reaches it and decides; the order of draining heartbeats within a process, which was kept already.

--- a/src/heathermount/gateway/announcements.py
+++ b/src/heathermount/gateway/announcements.py
@@ -44,9 +44,8 @@
 
     def same_start(self, other: "Announcement") -> bool:
         """Tell whether both come from one start of a server."""
-        return (self.server_id, self.born_ms, self.address, self.slots) == (
-            other.server_id,
-            other.born_ms,
-            other.address,
-            other.slots,
-        )
+        return (self.server_id, self.born_ms) == (other.server_id, other.born_ms)
+
+    def same_place(self, other: "Announcement") -> bool:
+        """Tell whether both name one address and one number of slots."""
+        return (self.address, self.slots) == (other.address, other.slots)
--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -23,8 +23,10 @@
 from heathermount.gateway.announcements import Announcement
 from heathermount.gateway.configuration import ConfigurationTracker
 from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.departures import Departures
 from heathermount.gateway.dialect import Dialect
 from heathermount.gateway.http import find_header
+from heathermount.gateway.lifecycle import ServerLifecycle
 from heathermount.gateway.messages import Answer, Execute
 from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.refusals import answer_of, make_refusal
@@ -49,10 +51,6 @@
 # callers that the node does not know.
 SPARE_CONNECTIONS: Final = 8
 
-# A server that neither answers nor sends a heartbeat for this long gets no
-# requests, in seconds: two heartbeats are lost, or one is late.
-SILENT_S: Final = 3.5
-
 # Share of its slots from which a server may be overloaded.
 NEARLY_FULL: Final = 0.8
 
@@ -71,8 +69,7 @@
         "_drain_s",
         "_events",
         "_invariants",
-        "_last_sign_at",
-        "_left_at",
+        "_lifecycle",
         "_log",
         "_metrics",
         "_pool",
@@ -84,9 +81,7 @@
         "_updated",
         "active",
         "admission",
-        "announcement",
         "contexts",
-        "leaving",
     )
 
     def __init__(
@@ -102,6 +97,7 @@
         settings: PolicySettings,
         drain_s: float,
         quarantine: Quarantine,
+        departures: Departures,
         metrics: GatewayMetrics,
         updated: Callable[[], None],
     ) -> None:
@@ -119,68 +115,41 @@
         self._quarantine = quarantine
         self._metrics = metrics
         self._updated = updated
-        # When the backend server last answered or sent a heartbeat.
-        self._last_sign_at = clock.monotonic()
-        self._left_at = 0.0
+        self._lifecycle = ServerLifecycle(clock, departures, log)
         self._pool: ServerPool | None = None
         self.admission: AdmissionController | None = None
-        self.announcement: Announcement | None = None
-        # True after the backend server told that it leaves.
-        self.leaving = False
         # Requests that wait or run here and whose callers are there.
         self.active = 0
         # Running requests by their identifiers.
         self.contexts: dict[bytes, RunContext] = {}
 
+    @property
+    def announcement(self) -> Announcement | None:
+        """What the backend server last said of itself."""
+        return self._lifecycle.announcement
+
     @property
     def serving(self) -> bool:
-        return self.announcement is not None and not self.leaving
+        """Whether the backend server may get requests."""
+        return self._lifecycle.serving
 
     @property
     def busy(self) -> bool:
         """Whether any request waits or runs here."""
         return bool(self.active or self.contexts)
 
-    @property
-    def silent(self) -> bool:
-        """Whether the backend server has given no sign of life for a while."""
-        return self._clock.monotonic() - self._last_sign_at > SILENT_S
-
     def announce(self, announcement: Announcement) -> None:
         """Take what the backend server says of itself; older news is ignored."""
-        known = self.announcement
-        if known is not None and not announcement.follows(known):
-            self._log.record(
-                "heartbeat-older",
-                server=announcement.server_id,
-                born_ms=announcement.born_ms,
-                sequence=announcement.sequence,
-                draining=announcement.draining,
-                known_server=known.server_id,
-                known_born_ms=known.born_ms,
-                known_sequence=known.sequence,
-            )
-            return
-        self.announcement = announcement
-        self._last_sign_at = self._clock.monotonic()
-        if known is None or not known.same_start(announcement):
-            self._start(announcement)
-        elif announcement.draining:
-            self._leave("draining")
-        elif self.leaving and known.draining:
+        served = self.serving
+        if self._lifecycle.take(announcement):
             self._start(announcement)
+        elif self.serving != served:
+            self._updated()
 
     def withdraw(self, server_id: str) -> None:
-        """Take the backend server out of service: it has left."""
-        known = self.announcement
-        if known is not None and known.server_id == server_id:
-            self._leave("gone")
-            return
-        self._log.record(
-            "departure-unknown",
-            server=server_id,
-            known_server=known.server_id if known is not None else "",
-        )
+        """Take a backend server out of service: it has left."""
+        self._lifecycle.withdraw(server_id)
+        self._updated()
 
     def _start(self, announcement: Announcement) -> None:
         if self._pool is not None:
@@ -196,7 +165,6 @@
             self._events,
             self._invariants,
         )
-        self.leaving = False
         logging.info(
             "event=server-announced server=%s born_ms=%d sequence=%d slots=%d "
             "cold_s=%.1f",
@@ -206,24 +174,6 @@
             announcement.slots,
             announcement.cold_start_s,
         )
-        if announcement.draining:
-            self._leave("draining")
-        self._updated()
-
-    def _leave(self, cause: str) -> None:
-        if self.leaving:
-            return
-        self.leaving = True
-        self._left_at = self._clock.monotonic()
-        known = self.announcement
-        logging.info(
-            "event=server-leaving cause=%s server=%s born_ms=%d sequence=%d running=%d",
-            cause,
-            known.server_id if known is not None else "",
-            known.born_ms if known is not None else 0,
-            known.sequence if known is not None else 0,
-            self.active,
-        )
         self._updated()
 
     def _connections(self) -> int:
@@ -266,10 +216,12 @@
         return answer
 
     async def _admit_and_run(self, message: Execute, deadline: float) -> Answer:
-        if self.leaving:
+        lifecycle = self._lifecycle
+        if lifecycle.leaving:
             raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
         admission = self.admission
-        if admission is None or message.service != self._service or self.silent:
+        usable = lifecycle.serving and not lifecycle.silent
+        if admission is None or message.service != self._service or not usable:
             raise make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
         ticket = Ticket(
             message.request_id.decode("latin-1"),
@@ -314,10 +266,9 @@
 
     def _check_before_run(self, message: Execute) -> None:
         """Refuse what must not start now: state may have changed in the queue."""
-        if self.leaving:
-            left_s = self._clock.monotonic() - self._left_at
-            if left_s > self._drain_s / 2:
-                raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
+        lifecycle = self._lifecycle
+        if lifecycle.leaving and lifecycle.left_s() > self._drain_s / 2:
+            raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
         if self._quarantine.blocked(message.fingerprint):
             raise make_refusal(Reason.QUARANTINED, Outcome.NOT_RUN)
         if not message.key_digest:
@@ -339,12 +290,12 @@
         remaining_s = deadline - self._clock.monotonic()
         if remaining_s <= 0.0:
             raise make_refusal(Reason.DEADLINE, Outcome.NOT_RUN)
-        if self.leaving:
+        if self._lifecycle.leaving:
             self._log.record(
                 "run-after-departure",
                 request=message.request_id.decode("latin-1"),
                 server=announcement.server_id,
-                left_s=self._clock.monotonic() - self._left_at,
+                left_s=self._lifecycle.left_s(),
             )
         data = self._encode(message, announcement.server_id, remaining_s)
         head = message.method == b"HEAD"
@@ -362,7 +313,7 @@
             if not error.answering and not await pool.probe():
                 self._suspect(message, announcement)
             return self._broken(message, error)
-        self._last_sign_at = self._clock.monotonic()
+        self._lifecycle.note_answer()
         self._quarantine.completed(message.fingerprint)
         return self._judge(message, answer)
 
@@ -398,7 +349,8 @@
             self.admission.report_server(load.queued)
         if answer.status == MISDIRECTED:
             # Another server has the address now.
-            self._leave("replaced")
+            self._lifecycle.replace()
+            self._updated()
             refusal = make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
             return answer_of(refusal, sent=True), RunResult.FAILED
         if find_header(answer.headers, dialect.not_executed):
--- /dev/null
+++ b/src/heathermount/gateway/lifecycle.py
@@ -0,0 +1,142 @@
+"""Whether the backend server beside a node may get requests."""
+
+from enum import Enum
+from typing import Final
+
+from absl import logging
+
+from heathermount.clocks import Clock
+from heathermount.gateway.announcements import Announcement
+from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.departures import Departures
+
+__all__ = ["Phase", "ServerLifecycle"]
+
+# A server that neither answers nor sends a heartbeat for this long gets no
+# requests, in seconds: two heartbeats are lost, or one is late.
+SILENT_S: Final = 3.5
+
+
+class Phase(Enum):
+    """What is known of the backend server."""
+
+    # No heartbeat came yet.
+    UNKNOWN = "unknown"
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+class ServerLifecycle:
+    """Follows the heartbeats and departures of the server beside a node.
+
+    A start of a server that has left never serves again.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_last_sign_at",
+        "_left_at",
+        "_log",
+        "announcement",
+        "departures",
+        "phase",
+    )
+
+    def __init__(self, clock: Clock, departures: Departures, log: DecisionLog) -> None:
+        self._clock = clock
+        self._log = log
+        # When the server last answered or sent a heartbeat.
+        self._last_sign_at = clock.monotonic()
+        self._left_at = 0.0
+        self.announcement: Announcement | None = None
+        self.departures = departures
+        self.phase = Phase.UNKNOWN
+
+    @property
+    def serving(self) -> bool:
+        return self.phase is Phase.SERVING
+
+    @property
+    def leaving(self) -> bool:
+        return self.phase is Phase.LEAVING
+
+    @property
+    def silent(self) -> bool:
+        """Whether the server has given no sign of life for a while."""
+        return self._clock.monotonic() - self._last_sign_at > SILENT_S
+
+    def note_answer(self) -> None:
+        self._last_sign_at = self._clock.monotonic()
+
+    def left_s(self) -> float:
+        """Return the time since the departure, in seconds."""
+        return self._clock.monotonic() - self._left_at
+
+    def take(self, announcement: Announcement) -> bool:
+        """Take a heartbeat; return whether it starts the server.
+
+        A server is also started anew when it moves or has other slots.
+        """
+        if announcement.draining:
+            self.departures.add(announcement.server_id, announcement.born_ms)
+        known = self.announcement
+        if known is not None and not announcement.follows(known):
+            self._log_older(announcement, known)
+            return False
+        self.announcement = announcement
+        self._last_sign_at = self._clock.monotonic()
+        same_start = known is not None and announcement.same_start(known)
+        if self.departures.include(announcement):
+            if not (same_start and self.leaving):
+                self._leave("draining" if announcement.draining else "left-before")
+            return False
+        if known is None or not same_start:
+            self.phase = Phase.SERVING
+            return True
+        return self.serving and not announcement.same_place(known)
+
+    def withdraw(self, server_id: str) -> None:
+        """Take the departure of a server."""
+        known = self.announcement
+        if known is None or known.server_id != server_id:
+            self._log.record(
+                "departure-unknown",
+                server=server_id,
+                known_server=known.server_id if known is not None else "",
+            )
+            # All its starts until now: its heartbeats may still come.
+            self.departures.add(server_id, int(self._clock.wall() * 1000))
+            return
+        self.departures.add(server_id, known.born_ms)
+        if not self.leaving:
+            self._leave("gone")
+
+    def replace(self) -> None:
+        """Take note that another server answers at the address of this one."""
+        if not self.leaving:
+            self._leave("replaced")
+
+    def _leave(self, cause: str) -> None:
+        known = self.announcement
+        assert known is not None
+        self.phase = Phase.LEAVING
+        self._left_at = self._clock.monotonic()
+        logging.info(
+            "event=server-leaving cause=%s server=%s born_ms=%d sequence=%d",
+            cause,
+            known.server_id,
+            known.born_ms,
+            known.sequence,
+        )
+
+    def _log_older(self, announcement: Announcement, known: Announcement) -> None:
+        self._log.record(
+            "heartbeat-older",
+            server=announcement.server_id,
+            born_ms=announcement.born_ms,
+            sequence=announcement.sequence,
+            draining=announcement.draining,
+            known_server=known.server_id,
+            known_born_ms=known.born_ms,
+            known_sequence=known.sequence,
+        )
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -18,6 +18,7 @@
 from heathermount.gateway.budget import RepeatBudget
 from heathermount.gateway.configuration import ConfigurationTracker
 from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.departures import Departures
 from heathermount.gateway.dialect import Dialect
 from heathermount.gateway.entry import Entry
 from heathermount.gateway.execution import Execution
@@ -155,6 +156,7 @@
             settings.policy,
             parse_duration(settings.bounds.drain),
             self._quarantine,
+            Departures(),
             self._metrics,
             self._server_changed,
         )
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -13,6 +13,7 @@
 from heathermount.gateway.announcements import Announcement
 from heathermount.gateway.configuration import ConfigurationTracker
 from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.departures import Departures
 from heathermount.gateway.document import (
     GatewayDocument,
     OrganisationEntry,
@@ -148,6 +149,7 @@
         PolicySettings(),
         drain_s,
         Quarantine(clock),
+        Departures(),
         GatewayMetrics(dict),
         lambda: None,
     )
--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from builders_gateway import (
     RunningNode,
     make_announcement,
@@ -15,7 +17,7 @@
 from heathermount.clocks import ManualClock
 from heathermount.standins.platform_client import KEY, send_request
 from heathermount.standins.platform_server import PlatformServerStandIn
-from heathermount.values import Outcome
+from heathermount.values import Outcome, Reason
 
 
 async def leave(one: RunningNode) -> int:
@@ -48,6 +50,38 @@
     run_async(check)
 
 
+@pytest.mark.parametrize(
+    "late",
+    [
+        {"sequence": 3, "slots": 4},
+        {"sequence": 3, "address": "127.0.0.1:1"},
+        {"sequence": 3},
+    ],
+    ids=["other slots", "other address", "ready again"],
+)
+@pytest.mark.parametrize("said", ["draining", "DELETE", "both"])
+def test_a_start_of_a_server_that_has_left_stays_out_of_service(
+    said: str, late: dict[str, object]
+) -> None:
+    """Guards against a heartbeat that revives a server after its departure."""
+
+    async def check() -> None:
+        execution = make_execution(ManualClock(), make_tracker(ManualClock()))
+        execution.announce(make_announcement("127.0.0.1:1"))
+        if said != "DELETE":
+            execution.announce(
+                make_announcement("127.0.0.1:1", sequence=2, draining=True)
+            )
+        if said != "draining":
+            execution.withdraw("i-1")
+        execution.announce(make_announcement(**{"address": "127.0.0.1:2"} | late))
+        assert not execution.serving
+        answer = await execution.execute(make_execute())
+        assert (answer.reason, answer.outcome) == (Reason.DRAINING, Outcome.NOT_RUN)
+
+    run_async(check)
+
+
 def test_a_restarted_node_does_not_start_a_server_that_left_before() -> None:
     """Guards against a departure that is forgotten with the process."""
 
