Move a gateway node's listeners to a module of their own

Change: gateway/listeners opens the listeners and keeps the connections made to them; behaviour is unchanged.

Measured: tests of the gateway's fleet, links and HTTP pass.

--- a/src/heathermount/gateway/links.py
+++ b/src/heathermount/gateway/links.py
@@ -19,7 +19,13 @@
     Pong,
 )
 
-__all__ = ["Link", "LinkTable", "PeerConnection", "configure_socket"]
+__all__ = [
+    "Link",
+    "LinkTable",
+    "PeerConnection",
+    "PeerHandler",
+    "configure_socket",
+]
 
 CONNECT_TIMEOUT_S: Final = 1.0
 
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Callable
 from random import Random
 from typing import Final, Self
 
@@ -28,12 +27,12 @@
 )
 from heathermount.gateway.http import (
     Handler,
-    HttpConnection,
     HttpLimits,
     HttpRequest,
     HttpResponse,
 )
-from heathermount.gateway.links import LinkTable, PeerConnection
+from heathermount.gateway.links import LinkTable
+from heathermount.gateway.listeners import Listeners
 from heathermount.gateway.messages import (
     Execute,
     Message,
@@ -83,8 +82,6 @@
 METRICS_PATH: Final = b"/metrics"
 METRICS_HEADERS: Final = [(b"content-type", b"text/plain; version=0.0.4")]
 
-BACKLOG: Final = 1024
-
 TOKEN_TIMEOUT_S: Final = 0.25
 
 
@@ -94,20 +91,17 @@
     __slots__ = (
         "_balancer",
         "_budget",
-        "_clients",
         "_clock",
         "_dialect",
         "_entry",
         "_follower",
         "_links",
+        "_listeners",
         "_log",
         "_metrics",
-        "_observers",
         "_offered",
-        "_peers",
         "_quarantine",
         "_quota",
-        "_servers",
         "_services",
         "_settings",
         "_stopping",
@@ -197,11 +191,8 @@
             reader, self._tracker, self.registry, clock, random
         )
         self._services: set[str] = set()
-        self._clients: set[HttpConnection] = set()
-        self._observers: set[HttpConnection] = set()
-        self._peers: set[PeerConnection] = set()
-        self._servers: list[asyncio.Server] = []
         self._stopping = asyncio.Event()
+        self._listeners = Listeners(self._limits, self._stopping.is_set)
         # Whether other nodes may choose the server beside this node.
         self._offered = True
 
@@ -233,12 +224,7 @@
     def close(self) -> None:
         """Close all connections and listeners at once."""
         self._links.close()
-        for server in self._servers:
-            server.close()
-        for connection in list(self._clients | self._observers):
-            connection.abort()
-        for peer in list(self._peers):
-            peer.close()
+        self._listeners.close()
 
     async def run(self, control: Handler) -> None:
         """Serve until `stop`, then finish what runs; `control` takes heartbeats."""
@@ -264,28 +250,11 @@
         logging.info("event=node-stopped node=%s", self._settings.node.name)
 
     async def _listen(self, control: Handler) -> None:
-        listen = self._settings.listen
-        loop = asyncio.get_running_loop()
-
-        def accept(
-            handler: Handler, connections: set[HttpConnection]
-        ) -> Callable[[], HttpConnection]:
-            return lambda: HttpConnection(
-                handler, self._limits, connections, self._stopping.is_set
-            )
-
-        factories: dict[str, Callable[[], asyncio.Protocol]] = {
-            listen.outbound: accept(self._entry.handle, self._clients),
-            listen.readiness: accept(self._observe, self._observers),
-            listen.control: accept(control, self._observers),
-            listen.peers: lambda: PeerConnection(self._answer_peer, self._peers),
-        }
-        for address, factory in factories.items():
-            host, _, port = address.rpartition(":")
-            server = await loop.create_server(
-                factory, host, int(port), backlog=BACKLOG, reuse_address=True
-            )
-            self._servers.append(server)
+        listen, listeners = self._settings.listen, self._listeners
+        await listeners.accept_clients(listen.outbound, self._entry.handle)
+        await listeners.accept_observers(listen.readiness, self._observe)
+        await listeners.accept_observers(listen.control, control)
+        await listeners.accept_peers(listen.peers, self._answer_peer)
 
     def _limits(self) -> HttpLimits:
         policy = self._tracker.policy
@@ -305,7 +274,7 @@
             "configuration_age_seconds": self._tracker.age_s(),
             "nodes": float(len(self.registry.nodes)),
             "links_usable": float(self._links.count_usable()),
-            "clients": float(len(self._clients)),
+            "clients": float(len(self._listeners.clients)),
             "log_lines_dropped": float(self._log.count_dropped()),
         }
         if load is not None:
@@ -426,8 +395,9 @@
         grace_s = parse_duration(self._settings.bounds.grace)
         loop = asyncio.get_running_loop()
         started = loop.time()
-        logging.info("event=node-stopping clients=%d", len(self._clients))
-        for client in list(self._clients):
+        clients = self._listeners.clients
+        logging.info("event=node-stopping clients=%d", len(clients))
+        for client in list(clients):
             client.close_when_idle()
         await asyncio.sleep(EXECUTE_SHARE * grace_s)
         # Other nodes choose this one no more, but keep their links to it.
@@ -435,8 +405,7 @@
         self._offered = False
         self._server_changed()
         await asyncio.sleep((SERVE_SHARE - EXECUTE_SHARE) * grace_s)
-        for server in self._servers:
-            server.close()
+        self._listeners.stop_accepting()
         await self._finish(started + END_SHARE * grace_s)
         await self.registry.withdraw()
         self._links.close()
@@ -445,7 +414,7 @@
         """Wait until nothing runs any more, or until a time of the event loop."""
         loop = asyncio.get_running_loop()
         while loop.time() < until:
-            busy = any(client.busy for client in self._clients)
+            busy = any(client.busy for client in self._listeners.clients)
             if not busy and not self.execution.busy:
                 return
             await asyncio.sleep(POLL_S)
