Remember departures of backend servers beyond the process

Cause: what a node acknowledged of a departure ended with its process. A node that was stopped or killed and started again took a late heartbeat of the server that had left as news and served it (DRAIN).

A process reads them before it uses a server. Until the store answers, a server needs two heartbeats, since one that has left sends none but late ones.

Weighed: asking the server's health endpoint at the start (its path is not known without the store, and health is said to lag); peers that remember for the node (they are found through the store, and all may stop at once); no lease (records of removed instances would stay for ever).

Conclusion: the promise now outlives the process that made it. Open: a record that lapses with all leases in a store outage is gone for a process that starts afterwards.

--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -151,6 +151,15 @@
         self._lifecycle.withdraw(server_id)
         self._updated()
 
+    def confirm_departures(self) -> None:
+        """Take note that the departures which earlier processes took are known."""
+        serving, announcement = self.serving, self.announcement
+        if self._lifecycle.confirm():
+            assert announcement is not None
+            self._start(announcement)
+        elif self.serving != serving:
+            self._updated()
+
     def _start(self, announcement: Announcement) -> None:
         if self._pool is not None:
             self._pool.close()
--- a/src/heathermount/gateway/lifecycle.py
+++ b/src/heathermount/gateway/lifecycle.py
@@ -22,6 +22,8 @@
 
     # No heartbeat came yet.
     UNKNOWN = "unknown"
+    # It may have left before this process started.
+    UNCONFIRMED = "unconfirmed"
     SERVING = "serving"
     LEAVING = "leaving"
 
@@ -29,11 +31,14 @@
 class ServerLifecycle:
     """Follows the heartbeats and departures of the server beside a node.
 
-    A start of a server that has left never serves again.
+    A start of a server that has left never serves again. Until this process knows
+    what earlier ones noted of departures, a single heartbeat proves little: it may
+    have been sent before a departure and come late.
     """
 
     __slots__ = (
         "_clock",
+        "_confirmed",
         "_last_sign_at",
         "_left_at",
         "_log",
@@ -45,6 +50,8 @@
     def __init__(self, clock: Clock, departures: Departures, log: DecisionLog) -> None:
         self._clock = clock
         self._log = log
+        # Whether the departures that earlier processes noted are known.
+        self._confirmed = False
         # When the server last answered or sent a heartbeat.
         self._last_sign_at = clock.monotonic()
         self._left_at = 0.0
@@ -91,9 +98,35 @@
                 self._leave("draining" if announcement.draining else "left-before")
             return False
         if known is None or not same_start:
+            if self._confirmed:
+                self.phase = Phase.SERVING
+            else:
+                self.phase = Phase.UNCONFIRMED
+            return self._confirmed
+        if self.phase is Phase.SERVING:
+            return not announcement.same_place(known)
+        if self.phase is Phase.UNCONFIRMED and announcement.sequence > known.sequence:
+            # A server that has left sends no heartbeats but late ones.
             self.phase = Phase.SERVING
             return True
-        return self.serving and not announcement.same_place(known)
+        return False
+
+    def confirm(self) -> bool:
+        """Take note that all earlier departures are known.
+
+        Returns whether the server starts now.
+        """
+        self._confirmed = True
+        announcement = self.announcement
+        if announcement is None or self.leaving:
+            return False
+        if self.departures.include(announcement):
+            self._leave("left-before")
+            return False
+        if self.serving:
+            return False
+        self.phase = Phase.SERVING
+        return True
 
     def withdraw(self, server_id: str) -> None:
         """Take the departure of a server."""
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -17,6 +17,7 @@
 from heathermount.gateway.budget import RepeatBudget
 from heathermount.gateway.configuration import ConfigurationTracker
 from heathermount.gateway.decisions import DecisionLog
+from heathermount.gateway.departure_keeper import DepartureKeeper
 from heathermount.gateway.departures import Departures
 from heathermount.gateway.dialect import Dialect
 from heathermount.gateway.entry import Entry
@@ -108,6 +109,7 @@
         "_store",
         "_thresholds",
         "_tracker",
+        "departures",
         "execution",
         "registry",
     )
@@ -138,6 +140,7 @@
         self._quarantine = Quarantine(clock)
         self._thresholds = ThresholdTable.from_config(settings.policy, clock)
         self._quota = QuotaShares(node.name, clock, self._ask_tokens, node.first_start)
+        departures = Departures()
         self.execution = Execution(
             node.service,
             dialect,
@@ -150,10 +153,13 @@
             settings.policy,
             parse_duration(settings.bounds.drain),
             self._quarantine,
-            Departures(),
+            departures,
             self._metrics,
             self._server_changed,
         )
+        self.departures = DepartureKeeper(
+            store, node.name, departures, self.execution.confirm_departures, random
+        )
         self._entry = Entry(
             node.name,
             node.service,
@@ -241,6 +247,7 @@
                 self.registry.follow,
                 self._follower.watch,
                 self._follower.prove,
+                self.departures.maintain,
             )
         ]
         await self._stopping.wait()
--- a/src/heathermount/platform/daemon.py
+++ b/src/heathermount/platform/daemon.py
@@ -43,7 +43,9 @@
     reloader = SettingsReloader(path, node.apply_settings)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     watching = loop.create_task(reloader.watch())
-    heartbeats = HeartbeatListener(node.execution, settings.node.service)
+    heartbeats = HeartbeatListener(
+        node.execution, settings.node.service, node.departures.save
+    )
     await node.run(heartbeats.handle)
     watching.cancel()
 
--- a/src/heathermount/platform/heartbeats.py
+++ b/src/heathermount/platform/heartbeats.py
@@ -1,5 +1,6 @@
 """Heartbeats of the backend server on the node's own instance."""
 
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import msgspec
@@ -58,13 +59,22 @@
 
 
 class HeartbeatListener:
-    """Takes heartbeats and departures; everything else is not found."""
+    """Takes heartbeats and departures; everything else is not found.
 
-    __slots__ = ("_execution", "_service")
+    `save_departures` is awaited before a departure is acknowledged.
+    """
 
-    def __init__(self, execution: Execution, service: str) -> None:
+    __slots__ = ("_execution", "_save_departures", "_service")
+
+    def __init__(
+        self,
+        execution: Execution,
+        service: str,
+        save_departures: Callable[[], Awaitable[None]],
+    ) -> None:
         self._execution = execution
         self._service = service
+        self._save_departures = save_departures
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         target = request.target.decode("latin-1")
@@ -73,6 +83,7 @@
         server_id = target.removeprefix(PREFIX)
         if request.method == b"DELETE":
             self._execution.withdraw(server_id)
+            await self._save_departures()
             return HttpResponse(200, JSON, b"{}")
         if request.method != b"PUT":
             return HttpResponse(405, [])
@@ -91,4 +102,6 @@
             )
             return HttpResponse(400, [])
         self._execution.announce(announcement)
+        if announcement.draining:
+            await self._save_departures()
         return HttpResponse(200, JSON, b"{}")
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -29,6 +29,7 @@
     HttpRequest,
     HttpResponse,
 )
+from heathermount.gateway.lifecycle import ServerLifecycle
 from heathermount.gateway.messages import Execute
 from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.node import GatewayNode
@@ -133,11 +134,19 @@
     return Announcement(address=address, **values)
 
 
+def make_lifecycle(
+    clock: Clock, departures: Departures | None = None
+) -> ServerLifecycle:
+    """Return the life cycle of a server whose earlier departures are not known."""
+    return ServerLifecycle(clock, departures or Departures(), DecisionLog(clock))
+
+
 def make_execution(
     clock: Clock, tracker: ConfigurationTracker, drain_s: float = 2.0
 ) -> Execution:
+    """Return an execution that knows of no earlier departures."""
     events = EventLog("n-1", clock, quiet=True)
-    return Execution(
+    execution = Execution(
         "pantry",
         PlatformDialect(),
         tracker,
@@ -153,6 +162,8 @@
         GatewayMetrics(dict),
         lambda: None,
     )
+    execution.confirm_departures()
+    return execution
 
 
 def make_execute(request_id: bytes = b"r-1", **fields: Any) -> Execute:
@@ -288,7 +299,9 @@
             DecisionLog(SystemClock()),
         )
         service = self.settings.node.service
-        heartbeats = HeartbeatListener(self.node.execution, service)
+        heartbeats = HeartbeatListener(
+            self.node.execution, service, self.node.departures.save
+        )
         self.task = asyncio.create_task(self.node.run(heartbeats.handle))
         await wait_for(lambda: not self.node.unready_reasons())
 
--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -9,12 +9,14 @@
     make_announcement,
     make_execute,
     make_execution,
+    make_lifecycle,
     make_tracker,
     run_async,
     run_fleet,
     wait_for,
 )
 from heathermount.clocks import ManualClock
+from heathermount.gateway.departures import Departures
 from heathermount.standins.platform_client import KEY, send_request
 from heathermount.standins.platform_server import PlatformServerStandIn
 from heathermount.values import Outcome, Reason
@@ -103,3 +105,56 @@
             assert not leaving.server.served
 
     run_async(check)
+
+
+def test_a_departure_is_acknowledged_after_it_was_saved() -> None:
+    """Guards against an acknowledgement that a crash right after it undoes."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry",)) as (store, (node,)):
+            assert not [key for key in store.items if key.startswith("departures/")]
+            assert await leave(node) == 200
+            assert "departures/n-0" in store.items
+
+    run_async(check)
+
+
+@pytest.mark.parametrize("trouble", ["down", "silent", "lose_answers"])
+def test_departures_are_acknowledged_and_saved_later_without_the_store(
+    trouble: str,
+) -> None:
+    """Guards against a server that gets no acknowledgement in a store outage."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry",)) as (store, (node,)):
+            setattr(store, trouble, True)
+            started = asyncio.get_running_loop().time()
+            assert await leave(node) == 200
+            assert asyncio.get_running_loop().time() - started < 1.0
+            assert not node.node.execution.serving
+            setattr(store, trouble, False)
+            await wait_for(lambda: "departures/n-0" in store.items)
+
+    run_async(check)
+
+
+def test_a_node_without_the_store_believes_heartbeats_that_go_on() -> None:
+    """Guards against an outage in which restarted nodes run nothing."""
+    lifecycle = make_lifecycle(ManualClock())
+    assert not lifecycle.take(make_announcement("127.0.0.1:1", sequence=7))
+    assert not lifecycle.take(make_announcement("127.0.0.1:1", sequence=7))
+    assert not lifecycle.serving
+    assert lifecycle.take(make_announcement("127.0.0.1:1", sequence=8))
+    assert lifecycle.serving
+
+
+def test_a_departure_that_is_read_late_still_counts() -> None:
+    """Guards against a store that answers after a late heartbeat came."""
+    departures = Departures()
+    lifecycle = make_lifecycle(ManualClock(), departures)
+    lifecycle.take(make_announcement("127.0.0.1:1", sequence=7))
+    departures.merge({"i-1": 1})
+    assert not lifecycle.confirm()
+    assert lifecycle.leaving
+    assert not lifecycle.take(make_announcement("127.0.0.1:1", sequence=8))
+    assert lifecycle.take(make_announcement("127.0.0.1:1", born_ms=2))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from typing import Any
+from unittest.mock import AsyncMock
 
 import msgspec
 import pytest
@@ -148,9 +149,11 @@
     async def check() -> None:
         clock = SystemClock()
         execution = make_execution(clock, make_tracker(clock))
-        listener = HeartbeatListener(execution, "pantry")
+        saved = AsyncMock()
+        listener = HeartbeatListener(execution, "pantry", saved)
         response = await listener.handle(HttpRequest(method, target, [], body))
         assert response.status == status
+        assert saved.await_count == (method == b"DELETE")
         known = execution.announcement
         assert (known is not None) is (status == 200 and method == b"PUT")
         if known is not None:
