Retire only the server that a misdirected request was meant for

A 421 says that another server has the address now. When the answer to a request for the former server came after the heartbeat of its successor, the node took the successor out of service until its next start.

Change: the answer is judged for the announcement that the request was sent for, and a newer start stays in service.

--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -324,7 +324,7 @@
             return self._broken(message, error)
         self._lifecycle.note_answer()
         self._quarantine.completed(message.fingerprint)
-        return self._judge(message, answer)
+        return self._judge(message, answer, announcement)
 
     def _suspect(self, message: Execute, announcement: Announcement) -> None:
         """Note that the backend server crashed while it ran a request."""
@@ -350,7 +350,7 @@
         return answer, RunResult.CRASHED
 
     def _judge(
-        self, message: Execute, answer: ServerAnswer
+        self, message: Execute, answer: ServerAnswer, announcement: Announcement
     ) -> tuple[Answer, RunResult]:
         dialect = self._dialect
         load = dialect.read_load(find_header(answer.headers, dialect.server_load))
@@ -358,7 +358,7 @@
             self.admission.report_server(load.queued)
         if answer.status == MISDIRECTED:
             # Another server has the address now.
-            self._lifecycle.replace()
+            self._lifecycle.replace(announcement)
             self._updated()
             refusal = make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
             return answer_of(refusal, sent=True), RunResult.FAILED
--- a/src/heathermount/gateway/lifecycle.py
+++ b/src/heathermount/gateway/lifecycle.py
@@ -144,9 +144,10 @@
         if not self.leaving:
             self._leave("gone")
 
-    def replace(self) -> None:
-        """Take note that another server answers at the address of this one."""
-        if not self.leaving:
+    def replace(self, announcement: Announcement) -> None:
+        """Take note that another server answers at the address of the announced one."""
+        known = self.announcement
+        if known is not None and known.same_start(announcement) and not self.leaving:
             self._leave("replaced")
 
     def _leave(self, cause: str) -> None:
--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -15,10 +15,10 @@
     run_fleet,
     wait_for,
 )
-from heathermount.clocks import ManualClock
+from heathermount.clocks import ManualClock, SystemClock
 from heathermount.gateway.departures import Departures
 from heathermount.standins.platform_client import KEY, send_request
-from heathermount.standins.platform_server import PlatformServerStandIn
+from heathermount.standins.platform_server import PlatformServerStandIn, ServedRequest
 from heathermount.values import Outcome, Reason
 
 
@@ -158,3 +158,32 @@
     assert lifecycle.leaving
     assert not lifecycle.take(make_announcement("127.0.0.1:1", sequence=8))
     assert lifecycle.take(make_announcement("127.0.0.1:1", born_ms=2))
+
+
+def test_a_late_answer_of_a_former_server_does_not_retire_its_successor() -> None:
+    """Guards against a 421 to a former request that takes a new server out."""
+
+    async def check() -> None:
+        clock = SystemClock()
+        former = PlatformServerStandIn("i-1")
+        release = asyncio.Event()
+
+        async def answer_late(_: ServedRequest) -> int:
+            await release.wait()
+            return 421
+
+        former.work = answer_late
+        await former.start()
+        execution = make_execution(clock, make_tracker(clock))
+        execution.announce(make_announcement(former.address))
+        run = asyncio.create_task(execution.execute(make_execute()))
+        await wait_for(lambda: bool(former.served))
+        execution.announce(
+            make_announcement(former.address, server_id="i-2", born_ms=2)
+        )
+        release.set()
+        assert (await run).outcome == Outcome.NOT_RUN
+        assert execution.serving
+        former.stop()
+
+    run_async(check)
