Check a request again when its connection is there

A request was checked against the departure, the key's withdrawal and the quarantine, and its deadline was written, before it waited for a connection: up to a second for one below the limit and up to another to connect. The check leaves half of the drain time, so a request could reach a leaving server after it, or run with a key whose freshness had passed, and the server was given more time than its client waits.

Change: ServerPool.exchange_prepared asks for the bytes once a connection is there; the checks and the deadline are made then. A request whose time ends before that has not run, instead of an unknown outcome.

Ruled out: waits after the send, since an idle connection is written to in the same turn of the loop.

Measured: three new tests failed before (sent 1.5 s after the departure; 1000 ms given with 300 left; unknown for a request never sent); 62 tests of execution, departures and upstream pass.

Conclusion: the class is a check whose result is used after a wait.

--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -51,6 +51,10 @@
 # callers that the node does not know.
 SPARE_CONNECTIONS: Final = 8
 
+# Requests that were queued when the server left are sent for this share of the
+# drain time; the rest covers their way to the server.
+SEND_SHARE: Final = 0.5
+
 # Share of its slots from which a server may be overloaded.
 NEARLY_FULL: Final = 0.8
 
@@ -261,7 +265,6 @@
         result = RunResult.CANCELLED
         context = RunContext(message, permit)
         try:
-            self._check_before_run(message)
             self.contexts[message.request_id] = context
             answer, result = await self._run(message, deadline)
             answer.thresholds = list(context.thresholds.values())
@@ -273,11 +276,18 @@
             self._metrics.record("server", self._clock.monotonic() - started_at)
             admission.release(permit, result)
 
-    def _check_before_run(self, message: Execute) -> None:
-        """Refuse what must not start now: state may have changed in the queue."""
+    def _check_before_send(self, message: Execute) -> None:
+        """Refuse what must not be sent now: state may have changed while it waited."""
         lifecycle = self._lifecycle
-        if lifecycle.leaving and lifecycle.left_s() > self._drain_s / 2:
-            raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
+        if lifecycle.leaving:
+            left_s = lifecycle.left_s()
+            if left_s > SEND_SHARE * self._drain_s:
+                raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
+            self._log.record(
+                "run-after-departure",
+                request=message.request_id.decode("latin-1"),
+                left_s=left_s,
+            )
         if self._quarantine.blocked(message.fingerprint):
             raise make_refusal(Reason.QUARANTINED, Outcome.NOT_RUN)
         if not message.key_digest:
@@ -297,23 +307,25 @@
         pool, announcement = self._pool, self.announcement
         assert pool is not None and announcement is not None
         remaining_s = deadline - self._clock.monotonic()
-        if remaining_s <= 0.0:
-            raise make_refusal(Reason.DEADLINE, Outcome.NOT_RUN)
-        if self._lifecycle.leaving:
-            self._log.record(
-                "run-after-departure",
-                request=message.request_id.decode("latin-1"),
-                server=announcement.server_id,
-                left_s=self._lifecycle.left_s(),
-            )
-        data = self._encode(message, announcement.server_id, remaining_s)
         head = message.method == b"HEAD"
+        sent = False
+
+        def prepare() -> bytes:
+            nonlocal sent
+            self._check_before_send(message)
+            left_s = deadline - self._clock.monotonic()
+            if left_s <= 0.0:
+                raise make_refusal(Reason.DEADLINE, Outcome.NOT_RUN)
+            sent = True
+            return self._encode(message, announcement.server_id, left_s)
+
         try:
             async with asyncio.timeout(remaining_s + ANSWER_GRACE_S):
-                answer = await pool.exchange(data, message.request_id, head)
+                answer = await pool.exchange_prepared(prepare, message.request_id, head)
         except TimeoutError:
-            refusal = make_refusal(Reason.DEADLINE, Outcome.UNKNOWN)
-            return answer_of(refusal, sent=True), RunResult.FAILED
+            outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
+            refusal = make_refusal(Reason.DEADLINE, outcome)
+            return answer_of(refusal, sent=sent), RunResult.FAILED
         except ServerUnreachable as error:
             self._log.record("server-unreachable", error=str(error))
             refusal = make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
--- a/src/heathermount/gateway/upstream.py
+++ b/src/heathermount/gateway/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from collections import deque
+from collections.abc import Callable
 from typing import Final, cast
 
 import httptools
@@ -248,24 +249,37 @@
     async def exchange(
         self, data: bytes, request_id: bytes, head: bool = False
     ) -> ServerAnswer:
-        """Send a request and return its answer.
+        """Send a request and return its answer; see `exchange_prepared`."""
+        return await self.exchange_prepared(lambda: data, request_id, head)
 
-        Raises ServerUnreachable when it was not sent, ServerBroke when no whole
-        answer came. A cancelled caller closes the connection, which makes the
-        server stop its work.
+    async def exchange_prepared(
+        self, prepare: Callable[[], bytes], request_id: bytes, head: bool = False
+    ) -> ServerAnswer:
+        """Send the request that `prepare` returns, and return its answer.
+
+        `prepare` is called when a connection is there, which can take seconds.
+        Nothing is sent if it raises.
+
+        Raises ServerUnreachable when the request was not sent, ServerBroke when no
+        whole answer came. A cancelled caller closes the connection, which makes
+        the server stop its work.
         """
         connection = self._take_idle() or await self._connect()
         if connection.transport is None or connection.transport.is_closing():
             raise ServerUnreachable(f"{self.address} closed the connection")
         connection.expires_at = self._loop.time() + IDLE_EXPIRY_S
+        try:
+            data = prepare()
+        except BaseException:
+            self._keep(connection)
+            raise
         try:
             answer = await connection.send(data, request_id, head)
         except BaseException:
             connection.close()
             raise
         if connection.reusable:
-            self._idle.append(connection)
-            self._wake()
+            self._keep(connection)
         else:
             connection.close()
         return answer
@@ -277,7 +291,7 @@
         except ServerUnreachable:
             return False
         connection.expires_at = self._loop.time() + IDLE_EXPIRY_S
-        self._idle.append(connection)
+        self._keep(connection)
         return True
 
     def closed(self, connection: ServerConnection) -> None:
@@ -289,6 +303,10 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _keep(self, connection: ServerConnection) -> None:
+        self._idle.append(connection)
+        self._wake()
+
     def _take_idle(self) -> ServerConnection | None:
         now = self._loop.time()
         while self._idle:
--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -1,6 +1,8 @@
 """Backend servers that leave: what a node remembers of it, and what it still sends."""
 
 import asyncio
+from typing import Any
+from unittest.mock import patch
 
 import pytest
 
@@ -187,3 +189,35 @@
         former.stop()
 
     run_async(check)
+
+
+def test_a_request_that_waited_for_a_connection_is_not_sent_late_in_a_drain() -> None:
+    """Guards against time between the check of a departure and the send."""
+
+    async def check() -> None:
+        clock = ManualClock()
+        server = PlatformServerStandIn("i-1")
+        await server.start()
+        execution = make_execution(clock, make_tracker(clock))
+        execution.announce(make_announcement(server.address))
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+        connecting, release = asyncio.Event(), asyncio.Event()
+
+        async def connect_late(*arguments: Any, **options: Any) -> Any:
+            connecting.set()
+            await release.wait()
+            return await connect(*arguments, **options)
+
+        with patch.object(loop, "create_connection", connect_late):
+            run = asyncio.create_task(execution.execute(make_execute()))
+            await connecting.wait()
+            execution.withdraw("i-1")
+            clock.advance(1.5)
+            release.set()
+            answer = await run
+        assert (answer.reason, answer.outcome) == (Reason.DRAINING, Outcome.NOT_RUN)
+        assert not server.served
+        server.stop()
+
+    run_async(check)
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from typing import Any
+from unittest.mock import patch
 
 import pytest
 
@@ -343,3 +345,49 @@
         "event=server-leaving cause=gone server=i-1 born_ms=1 sequence=1" in line
         for line in lines
     )
+
+
+def test_the_deadline_counts_the_wait_for_a_connection() -> None:
+    """Guards against a server that is given more time than its client waits."""
+
+    async def check() -> None:
+        clock = ManualClock()
+        server = PlatformServerStandIn("i-1")
+        await server.start()
+        execution = make_execution(clock, make_tracker(clock))
+        execution.announce(make_announcement(server.address))
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def connect_late(*arguments: Any, **options: Any) -> Any:
+            clock.advance(0.7)
+            return await connect(*arguments, **options)
+
+        with patch.object(loop, "create_connection", connect_late):
+            answer = await execution.execute(make_execute(deadline_s=1.0))
+        assert answer.outcome == Outcome.RAN
+        (request,) = server.served
+        assert int(request.headers["x-heathermount-deadline-milliseconds"]) <= 300
+        server.stop()
+
+    run_async(check)
+
+
+def test_a_request_that_gets_no_connection_in_time_has_not_run() -> None:
+    """Guards against an unknown outcome of a request that was never sent."""
+
+    async def check() -> None:
+        place = Place()
+        await place.start()
+        loop = asyncio.get_running_loop()
+
+        async def never_connect(*arguments: Any, **options: Any) -> Any:
+            await loop.create_future()
+
+        with patch.object(loop, "create_connection", never_connect):
+            answer = await place.execution.execute(make_execute(deadline_s=0.05))
+        assert (answer.reason, answer.outcome) == (Reason.DEADLINE, Outcome.NOT_RUN)
+        assert not answer.sent
+        place.server.stop()
+
+    run_async(check)
