Cut off answers of backend servers that never end

Cause: a server in trouble may send a head or a body without end until its caller closes. The client of servers kept both without a bound until the deadline; trailers were kept as headers too.

Change: an answer ends at 64 KiB of head or trailers, at 15 MiB in all (what fits a frame between nodes), as soon as a longer body is announced, or when the unfinished answers of one server hold 64 MiB, the longest first, so that short ones are whole. The connection is closed and the outcome is unknown.

Conclusion: what one server sends no longer decides a node's memory.

--- a/src/heathermount/gateway/upstream.py
+++ b/src/heathermount/gateway/upstream.py
@@ -9,6 +9,7 @@
 import httptools
 from absl import logging
 
+from heathermount.framing import MAX_FRAME_BYTES
 from heathermount.gateway.http import HOP_HEADERS
 from heathermount.values import Headers
 
@@ -26,6 +27,17 @@
 
 KEEP_ALIVE_TIMEOUT: Final = re.compile(rb"timeout=(\d+)")
 
+# A longer head is no answer: servers' heads hold a few hundred bytes. Informational
+# answers before it count as well.
+MAX_HEAD_BYTES: Final = 64 * 1024
+
+# Longest answer, which fits a frame between nodes together with its envelope.
+MAX_ANSWER_BYTES: Final = MAX_FRAME_BYTES - 1024 * 1024
+
+# Bytes of unfinished answers that one pool holds at most, a quarter of what the
+# smallest instances have for a node. The longest answer is cut off first.
+MAX_HELD_BYTES: Final = 64 * 1024 * 1024
+
 NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
@@ -72,7 +84,9 @@
         "_loop",
         "_parser",
         "_pool",
+        "_trailer_bytes",
         "expires_at",
+        "received_bytes",
         "transport",
     )
 
@@ -88,9 +102,12 @@
         self._closed = False
         self._begun = False
         self._length = -1
+        self._trailer_bytes = 0
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        self._body: bytes | bytearray = b""
         self.expires_at = 0.0
+        # Bytes that were received since a request was sent.
+        self.received_bytes = 0
         self.transport: asyncio.Transport | None = None
 
     @property
@@ -117,11 +134,36 @@
             # Bytes that belong to no request.
             self.close()
             return
+        self._hold(len(data))
+        if self._closed:
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"the server sent bytes that are no answer: {error!r}")
             self.close()
+            return
+        if not self._begun and self.received_bytes > MAX_HEAD_BYTES:
+            self.cut_off(f"over {MAX_HEAD_BYTES} bytes of head")
+
+    def cut_off(self, cause: str) -> None:
+        """Give up an answer that is too long and close its connection."""
+        self._begun = True
+        self._fail(f"the server's answer was cut off: {cause}")
+        self.close()
+
+    def _hold(self, count: int) -> None:
+        """Count received bytes and cut off an answer that is too long."""
+        self.received_bytes += count
+        self._pool.hold(count)
+        if self.received_bytes > MAX_ANSWER_BYTES:
+            self.cut_off(f"over {MAX_ANSWER_BYTES} bytes")
+
+    def _release(self) -> None:
+        """Drop what was received of an answer that is complete or given up."""
+        self._pool.hold(-self.received_bytes)
+        self.received_bytes = 0
+        self._body = b""
 
     def send(
         self, data: bytes, request_id: bytes, head: bool
@@ -136,6 +178,7 @@
 
     def close(self) -> None:
         self._closed = True
+        self._release()
         if self.transport is not None:
             self.transport.abort()
 
@@ -145,7 +188,7 @@
         if self._future is None:
             self._dirty = True
         self._headers = []
-        self._body = []
+        self._body = b""
         self._length = -1
         self._begun = False
 
@@ -162,20 +205,36 @@
                 self.expires_at = self._loop.time() + idle_s
         elif name == b"connection" and value.lower() == b"close":
             self._dirty = True
-        if name not in HOP_HEADERS:
+        if self._begun:
+            self._skip_trailer(name, value)
+        elif name not in HOP_HEADERS:
             self._headers.append((name, value))
 
+    def _skip_trailer(self, name: bytes, value: bytes) -> None:
+        """Count a header that follows the body; it is not passed on."""
+        self._trailer_bytes += len(name) + len(value) + 4
+        if self._trailer_bytes > MAX_HEAD_BYTES:
+            self.cut_off(f"over {MAX_HEAD_BYTES} bytes of trailers")
+
     def on_headers_complete(self) -> None:
         self._begun = True
+        self._trailer_bytes = 0
         if self._head:
             self._dirty = True
             self._complete()
+        elif self._length > MAX_ANSWER_BYTES:
+            self.cut_off(f"{self._length} bytes are announced")
 
     def on_body(self, body: bytes) -> None:
         if self._future is None:
             self._dirty = True
             return
-        self._body.append(body)
+        if not self._body:
+            self._body = body
+            return
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() >= 200:
@@ -192,8 +251,11 @@
             logging.info("event=answer-mismatched request=%r", self._expected_id)
             self._dirty = True
             self._begun = False
+            self._release()
             return
         self._future = None
+        body = bytes(self._body)
+        self._release()
         if self._length == -1:
             status = self._parser.get_status_code()
             self._dirty = self._dirty or status not in NO_BODY_STATUSES
@@ -203,13 +265,13 @@
         if not self._parser.should_keep_alive():
             self._dirty = True
         if not future.done():
-            body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
             future.set_result(
                 ServerAnswer(self._parser.get_status_code(), self._headers, body)
             )
 
     def _fail(self, cause: str) -> None:
         future, self._future = self._future, None
+        self._release()
         if future is not None and not future.done():
             future.set_exception(ServerBroke(cause, self._begun))
             future.exception()
@@ -221,6 +283,7 @@
     __slots__ = (
         "_connecting",
         "_connections",
+        "_held_bytes",
         "_host",
         "_idle",
         "_loop",
@@ -243,6 +306,8 @@
         self._loop = asyncio.get_running_loop()
         self._connections: set[ServerConnection] = set()
         self._connecting = 0
+        # Bytes of all unfinished answers.
+        self._held_bytes = 0
         self._idle: deque[ServerConnection] = deque()
         self._waiters: deque[asyncio.Future[None]] = deque()
 
@@ -298,6 +363,13 @@
         self._connections.discard(connection)
         self._wake()
 
+    def hold(self, count: int) -> None:
+        """Count bytes of unfinished answers; over the bound, cut off the longest."""
+        self._held_bytes += count
+        if self._held_bytes > MAX_HELD_BYTES:
+            longest = max(self._connections, key=lambda one: one.received_bytes)
+            longest.cut_off(f"the longest of {self._held_bytes} unfinished bytes")
+
     def close(self) -> None:
         """Close the idle connections; those in use end with their requests."""
         while self._idle:
--- /dev/null
+++ b/tests/test_gateway_endless.py
@@ -0,0 +1,113 @@
+"""Answers and requests without end: what callers see, and what they cost a node."""
+
+import asyncio
+import time
+import tracemalloc
+
+import pytest
+
+from builders_gateway import (
+    make_announcement,
+    make_execute,
+    make_execution,
+    make_tracker,
+    run_async,
+    wait_for,
+)
+from heathermount.clocks import SystemClock
+from heathermount.gateway.upstream import MAX_HELD_BYTES, ServerBroke, ServerPool
+from heathermount.standins.endless import EndlessAnswer, EndlessServerStandIn
+from heathermount.values import Outcome, Reason
+
+# An answer without end is cut off after this time at most, in seconds, when it
+# comes as fast as the machine can read; the machine may be busy.
+CLOSED_S = 10.0
+
+# Memory of the stand-in, of the reads under way and of a copy of one answer.
+MARGIN_BYTES = 32 * 1024 * 1024
+
+DEADLINE_S = 0.5
+
+
+@pytest.mark.parametrize("kind", list(EndlessAnswer))
+def test_an_answer_without_end_is_cut_off_and_its_connection_closed(
+    kind: EndlessAnswer,
+) -> None:
+    """Guards against a head or a body that fills the memory of a node."""
+
+    async def check() -> None:
+        server = EndlessServerStandIn(kind)
+        await server.start()
+        clock = SystemClock()
+        execution = make_execution(clock, make_tracker(clock, freshness_s=60.0))
+        execution.announce(make_announcement(server.address))
+        tracemalloc.start()
+        started = time.monotonic()
+        answers = await asyncio.gather(
+            *(
+                execution.execute(make_execute(b"r-%d" % number, deadline_s=CLOSED_S))
+                for number in range(8)
+            )
+        )
+        await wait_for(lambda: not server.open_connections)
+        elapsed_s = time.monotonic() - started
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert {(answer.status, answer.reason) for answer in answers} == {
+            (502, Reason.ANSWER_BROKEN)
+        }
+        assert {answer.outcome for answer in answers} == {Outcome.UNKNOWN}
+        assert not any(answer.body for answer in answers)
+        assert peak_bytes < MAX_HELD_BYTES + MARGIN_BYTES
+        assert elapsed_s < CLOSED_S
+        server.stop()
+
+    run_async(check)
+
+
+# An absurd length is refused as soon as it is announced.
+@pytest.mark.parametrize(
+    "kind", [kind for kind in EndlessAnswer if kind is not EndlessAnswer.SIZED_BODY]
+)
+def test_a_slow_answer_without_end_is_cut_off_at_the_deadline(
+    kind: EndlessAnswer,
+) -> None:
+    """Guards against an answer that keeps a request for ever, byte by byte."""
+
+    async def check() -> None:
+        server = EndlessServerStandIn(kind, chunk_bytes=16, pause_s=0.02)
+        await server.start()
+        clock = SystemClock()
+        execution = make_execution(clock, make_tracker(clock))
+        execution.announce(make_announcement(server.address))
+        answer = await execution.execute(make_execute(deadline_s=DEADLINE_S))
+        assert (answer.reason, answer.outcome) == (Reason.DEADLINE, Outcome.UNKNOWN)
+        await wait_for(lambda: not server.open_connections, 1.0)
+        server.stop()
+
+    run_async(check)
+
+
+def test_an_answer_without_end_costs_no_other_request_its_answer() -> None:
+    """Guards against a memory bound that breaks off short answers."""
+
+    async def check() -> None:
+        server = EndlessServerStandIn(EndlessAnswer.BODY)
+        server.healthy = {"good"}
+        await server.start()
+        pool = ServerPool(server.address, b"x-heathermount-request-id", 16)
+
+        def encode(name: str) -> bytes:
+            return f"GET /{name} HTTP/1.1\r\n\r\n".encode()
+
+        endless = [
+            asyncio.create_task(pool.exchange(encode("endless"), b"")) for _ in range(8)
+        ]
+        for _ in range(20):
+            answer = await pool.exchange(encode("good"), b"")
+            assert (answer.status, answer.body) == (200, b"whole")
+        for result in await asyncio.gather(*endless, return_exceptions=True):
+            assert isinstance(result, ServerBroke) and result.answering
+        server.stop()
+
+    run_async(check)
