Refuse requests whose head never ends

The header limit was checked for complete headers only: a target or a header value without end was kept until the header time-out. The listeners for clients, heartbeats and readiness share this code.

Change: bytes of an unfinished head after its first read count against the header limit; over it the request gets 431 and the connection ends.

--- a/src/heathermount/gateway/http.py
+++ b/src/heathermount/gateway/http.py
@@ -109,6 +109,7 @@
         "_body",
         "_closing",
         "_handler",
+        "_head_bytes",
         "_head_complete",
         "_headers",
         "_idle_since",
@@ -150,6 +151,8 @@
         self._reading_since = 0.0
         self._received_at = 0.0
         self._head_complete = False
+        # Bytes of an unfinished head after those that came with its start.
+        self._head_bytes = 0
         self._closing = False
         self._refused = False
         self._target = b""
@@ -184,6 +187,7 @@
         if self._refused:
             return
         self._received_at = self._loop.time()
+        head_continues = bool(self._reading_since) and not self._head_complete
         if not self._reading_since:
             self._reading_since = self._received_at
         try:
@@ -194,6 +198,14 @@
             if not self._refused:
                 logging.info('event=request-malformed error="%s"', error)
                 self._refuse(HTTPStatus.BAD_REQUEST)
+        if head_continues and not self._head_complete:
+            self._count_head(len(data))
+
+    def _count_head(self, count: int) -> None:
+        """Refuse a head that goes on; the parser tells only what is complete."""
+        self._head_bytes += count
+        if self._head_bytes > self._limits().max_header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def pause_writing(self) -> None:
         """Stop reading from a client that does not read its answers."""
@@ -265,6 +277,7 @@
     def _reset_message(self) -> None:
         self._target = b""
         self._head_complete = False
+        self._head_bytes = 0
         self._headers = []
         self._body = []
         self._size = 0
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -12,9 +12,11 @@
     make_execution,
     make_tracker,
     run_async,
+    serve_http,
     wait_for,
 )
 from heathermount.clocks import SystemClock
+from heathermount.gateway.http import HttpLimits, HttpRequest, HttpResponse
 from heathermount.gateway.upstream import MAX_HELD_BYTES, ServerBroke, ServerPool
 from heathermount.standins.endless import EndlessAnswer, EndlessServerStandIn
 from heathermount.values import Outcome, Reason
@@ -111,3 +113,51 @@
         server.stop()
 
     run_async(check)
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        (b"GET /", b"a" * 65_536),
+        (b"GET / HTTP/1.1\r\nX-Long: ", b"a" * 65_536),
+        (b"GET / HTTP/1.1\r\n", b"X-Short: a\r\n" * 5_000),
+        (b"a", b"a" * 65_536),
+    ],
+    ids=["target", "header value", "headers", "method"],
+)
+def test_a_request_head_without_end_is_refused(start: bytes, part: bytes) -> None:
+    """Guards against a client or server whose request fills the memory of a node."""
+
+    async def check() -> None:
+        async def handle(_: HttpRequest) -> HttpResponse:
+            raise AssertionError("no request was whole")
+
+        tracemalloc.start()
+        async with serve_http(handle, HttpLimits()) as (reader, writer):
+            writer.write(start)
+            sent = 0
+            try:
+                while sent < 50_000_000:
+                    writer.write(part)
+                    sent += len(part)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+            except OSError:
+                # The node has closed the connection.
+                pass
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            answer = await read_to_end(reader)
+        tracemalloc.stop()
+        assert peak_bytes < 8 * 1024 * 1024
+        assert sent < 50_000_000 or answer.startswith(
+            (b"HTTP/1.1 431", b"HTTP/1.1 400")
+        )
+
+    run_async(check)
+
+
+async def read_to_end(reader: asyncio.StreamReader) -> bytes:
+    try:
+        return await reader.read()
+    except OSError:
+        return b""
