Never take an informational answer for the final one

Cause: found while bounding answers. After a 100 Continue the client of servers held the answer for begun: when the server then closed, or the request was a HEAD, status 100 went to the caller as the answer.

Change: only a final status begins an answer.

Measured: both cases of the new test failed before (an answer with status 100 instead of ServerBroke); tests of upstream and endless answers pass. Endless informational answers are cut off as a head now.

--- a/src/heathermount/gateway/upstream.py
+++ b/src/heathermount/gateway/upstream.py
@@ -38,6 +38,9 @@
 # smallest instances have for a node. The longest answer is cut off first.
 MAX_HELD_BYTES: Final = 64 * 1024 * 1024
 
+# Answers with lower statuses are informational: the final one follows.
+FIRST_FINAL_STATUS: Final = 200
+
 NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
@@ -217,6 +220,8 @@
             self.cut_off(f"over {MAX_HEAD_BYTES} bytes of trailers")
 
     def on_headers_complete(self) -> None:
+        if self._parser.get_status_code() < FIRST_FINAL_STATUS:
+            return
         self._begun = True
         self._trailer_bytes = 0
         if self._head:
@@ -237,7 +242,7 @@
         self._body += body
 
     def on_message_complete(self) -> None:
-        if self._parser.get_status_code() >= 200:
+        if self._parser.get_status_code() >= FIRST_FINAL_STATUS:
             self._complete()
 
     def _complete(self) -> None:
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -126,3 +126,28 @@
         server.stop()
 
     run_async(check)
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+def test_an_informational_answer_is_not_the_answer(method: bytes) -> None:
+    """Guards against a 100 Continue that is passed on when the server then breaks."""
+
+    async def check() -> None:
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            writer.close()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        pool = ServerPool(f"{host}:{port}", ID_HEADER, 4)
+        with pytest.raises(ServerBroke) as caught:
+            await pool.exchange(
+                method + b" / HTTP/1.1\r\n\r\n", b"r-1", method == b"HEAD"
+            )
+        assert not caught.value.answering
+        server.close()
+
+    run_async(check)
