Refuse a request whose body fits no frame between nodes

Cause: found while bounding answers. A body longer than a frame was sent all the same; the peer closed the link for it, and all other calls on the link ended with an unknown outcome.

Change: the body limit is at most what a frame holds with its headers, 15 MiB; a longer body gets 413, not run. The stand-in operator writes the limits of the document.

Conclusion: sites that allow 64 MiB get 15 MiB. Longer ones would need frames in parts; memory of a node would hold few of them.

--- a/src/heathermount/framing.py
+++ b/src/heathermount/framing.py
@@ -4,11 +4,13 @@
 from enum import IntEnum
 from typing import Final
 
-__all__ = ["HEADER", "MAX_FRAME_BYTES", "Kind"]
+__all__ = ["HEADER", "MAX_BODY_BYTES", "MAX_FRAME_BYTES", "Kind"]
 
 HEADER: Final = struct.Struct(">IQB")
 # A frame carries one body of at most a few MiB; anything longer is malformed.
 MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
+# Longest body that fits a frame together with its headers.
+MAX_BODY_BYTES: Final = MAX_FRAME_BYTES - 1024 * 1024
 
 
 class Kind(IntEnum):
--- a/src/heathermount/gateway/document.py
+++ b/src/heathermount/gateway/document.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from heathermount.framing import MAX_BODY_BYTES
 from heathermount.gateway.http import HttpLimits
 from heathermount.values import Importance
 
@@ -105,7 +106,7 @@
     def __init__(self, document: GatewayDocument) -> None:
         self.document = document
         self.version = document.version
-        self.limits = document.limits
+        self.limits = bound_limits(document.limits)
         self.needs_keys = bool(document.organisations)
         self._hosts: dict[str, dict[str, RouteEntry]] = {}
         for route in document.routes:
@@ -167,6 +168,12 @@
         return self._services.get(name)
 
 
+def bound_limits(limits: HttpLimits) -> HttpLimits:
+    """Return limits under which each request fits a frame between nodes."""
+    max_body_bytes = min(limits.max_body_bytes, MAX_BODY_BYTES)
+    return msgspec.structs.replace(limits, max_body_bytes=max_body_bytes)
+
+
 def choose_target(route: RouteEntry, random: Random) -> str:
     """Return the service for one request, in proportion to the weights."""
     targets = route.targets
--- a/src/heathermount/gateway/upstream.py
+++ b/src/heathermount/gateway/upstream.py
@@ -9,7 +9,7 @@
 import httptools
 from absl import logging
 
-from heathermount.framing import MAX_FRAME_BYTES
+from heathermount.framing import MAX_BODY_BYTES
 from heathermount.gateway.http import HOP_HEADERS
 from heathermount.values import Headers
 
@@ -31,8 +31,8 @@
 # answers before it count as well.
 MAX_HEAD_BYTES: Final = 64 * 1024
 
-# Longest answer, which fits a frame between nodes together with its envelope.
-MAX_ANSWER_BYTES: Final = MAX_FRAME_BYTES - 1024 * 1024
+# Longest answer: it must fit a frame between nodes.
+MAX_ANSWER_BYTES: Final = MAX_BODY_BYTES
 
 # Bytes of unfinished answers that one pool holds at most, a quarter of what the
 # smallest instances have for a node. The longest answer is cut off first.
--- a/src/heathermount/standins/platform_operator.py
+++ b/src/heathermount/standins/platform_operator.py
@@ -51,7 +51,7 @@
             ],
             "Limits": {
                 "MaxHeaderBytes": 16384,
-                "MaxBodyBytes": 1000000,
+                "MaxBodyBytes": document.limits.max_body_bytes,
                 "HeaderTimeout": "3000ms",
                 "IdleTimeout": "15000ms",
             },
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 
 from builders_gateway import (
@@ -16,6 +17,8 @@
     run_fleet,
     wait_for,
 )
+from heathermount.framing import MAX_FRAME_BYTES
+from heathermount.gateway.http import HttpLimits
 from heathermount.gateway.messages import Execute
 from heathermount.gateway.node import EXECUTE_SHARE
 from heathermount.standins.platform_client import read_response, send_request
@@ -98,6 +101,33 @@
     run_async(check)
 
 
+def test_a_body_that_fits_no_frame_is_refused_alone() -> None:
+    """Guards against a long body that breaks the calls of others on its link."""
+
+    async def check() -> None:
+        limits = HttpLimits(max_body_bytes=4 * MAX_FRAME_BYTES)
+        document = msgspec.structs.replace(make_document(), limits=limits)
+        async with run_fleet(("orders", "pantry"), document) as (_, nodes):
+            release = asyncio.Event()
+
+            async def wait(_: ServedRequest) -> int:
+                await release.wait()
+                return 200
+
+            nodes[1].server.work = wait
+            other = asyncio.create_task(nodes[0].request(request_id="r-other"))
+            await wait_for(lambda: "r-other" in nodes[1].server.ids())
+            status, _, _ = await nodes[0].request(
+                method="POST", body=b"a" * (MAX_FRAME_BYTES + 1)
+            )
+            assert status == 413
+            release.set()
+            assert (await other)[0] == 200
+            assert nodes[1].server.ids() == ["r-other"]
+
+    run_async(check)
+
+
 def test_a_withdrawn_key_stops_working() -> None:
     """Guards against a withdrawn key that works on connections that are open."""
 
