Let servers of the soak leave without a word, stay, and send late heartbeats

Cause: the soak told the node of a departure with a heartbeat only, ended the server a second after the drain time and never sent a late heartbeat, so it could not find that departures are forgotten.

Change: a leaving server says it with a heartbeat or with a DELETE, sends an older heartbeat up to 4 s later and stays 1 to 6 s more.

--- a/src/heathermount/soak/instances.py
+++ b/src/heathermount/soak/instances.py
@@ -35,6 +35,12 @@
 # Period of the heartbeats of backend servers, in seconds.
 BEAT_S: Final = 1.0
 
+# A heartbeat is this late at most, and a leaving server stays for this long after
+# it, in seconds: together well beyond the drain time.
+LATEST_BEAT_S: Final = 4.0
+MIN_STAY_S: Final = 1.0
+MAX_STAY_S: Final = 6.0
+
 # Mean time that a server works on a request, and its slots: four servers of a
 # service have room for several times the load of the soak.
 WORK_S: Final = 0.03
@@ -95,6 +101,8 @@
             {"HEATHERMOUNT_CONFIG": str(self._settings_path)},
         )
         self._starts = 0
+        # Number of the server's last heartbeat.
+        self._sequence = 0
         # Size of the log before the present process, in bytes.
         self._log_size = 0
         self._beats: asyncio.Task[None] | None = None
@@ -244,24 +252,35 @@
             self.server.stop()
             self.server = None
 
-    async def drain_server(self) -> None:
-        """Tell the node that the server leaves; end the server after the drain."""
-        server = self.server
+    async def drain_server(self, random: Random) -> None:
+        """Tell the node that the server leaves; end the server some time later.
+
+        The server says it with a heartbeat or with a DELETE, and goes on serving
+        for longer than it has to. A heartbeat from before comes late.
+        """
+        server, late = self.server, self._sequence
         if server is None:
             return
         if self._beats is not None:
             self._beats.cancel()
-        if await self._beat(server, 1_000_000, "draining"):
+        if random.random() < 0.5:
+            acknowledged = await self._beat(server, late + 1, "draining")
+        else:
+            acknowledged = await self._leave(server)
+        if acknowledged:
             self.drains.append((server.server_id, time.monotonic()))
-        await asyncio.sleep(parse_duration(DRAIN) + 1.0)
+        await asyncio.sleep(random.uniform(0.0, LATEST_BEAT_S))
+        if self.server is server:
+            await self._beat(server, late, "ready")
+            await asyncio.sleep(random.uniform(MIN_STAY_S, MAX_STAY_S))
         if self.server is server:
             self.crash_server()
 
     async def _send_beats(self, server: PlatformServerStandIn) -> None:
-        sequence = 0
+        self._sequence = 0
         while True:
-            sequence += 1
-            await self._beat(server, sequence, "ready")
+            self._sequence += 1
+            await self._beat(server, self._sequence, "ready")
             await asyncio.sleep(BEAT_S)
 
     async def _beat(
@@ -271,9 +290,19 @@
         path, data = server.make_heartbeat(
             self.service, SLOTS, sequence, state, self._starts
         )
+        return await self._call_node("PUT", path, data)
+
+    async def _leave(self, server: PlatformServerStandIn) -> bool:
+        """Send a DELETE; tell whether the node acknowledged it."""
+        path, _ = server.make_heartbeat(self.service, SLOTS, 0, "ready", 0)
+        return await self._call_node("DELETE", path, b"")
+
+    async def _call_node(self, method: str, path: str, data: bytes) -> bool:
         try:
             async with asyncio.timeout(1.0):
-                status, _, _ = await send_request(self._control, "PUT", path, body=data)
+                status, _, _ = await send_request(
+                    self._control, method, path, body=data
+                )
         except (OSError, EOFError, TimeoutError):
             # The node is down, paused or starting; the next heartbeat follows.
             return False
--- a/src/heathermount/soak/troubles.py
+++ b/src/heathermount/soak/troubles.py
@@ -168,7 +168,7 @@
 
 async def drain_server(state: SoakState, random: Random) -> None:
     instance = pick(state, random)
-    await instance.drain_server()
+    await instance.drain_server(random)
     if instance.server is None:
         await instance.start_server()
 
