End a node's process without a traceback

Cause: every stopped node wrote a traceback to standard error at its end: the logging library closes its stream, and LineWriter had no close.

Change: LineWriter.close does nothing; standard output stays open.

Measured: the new test failed before (AttributeError: 'LineWriter' object has no attribute 'close' on standard error).

--- a/src/heathermount/gateway/logs.py
+++ b/src/heathermount/gateway/logs.py
@@ -40,6 +40,9 @@
     def flush(self) -> None:
         """Do nothing: each line is written at once."""
 
+    def close(self) -> None:
+        """Do nothing: standard output belongs to the process."""
+
 
 def start_logging() -> LineWriter:
     """Send log lines to standard output; return their writer."""
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -1,8 +1,11 @@
 """Log lines of a node: where they go and what a stopped reader costs."""
 
 import os
+import subprocess
+import sys
 
 from heathermount.gateway.logs import LineWriter
+from heathermount.runner.processes import make_environment
 
 
 def test_a_reader_that_has_stopped_blocks_nothing() -> None:
@@ -24,3 +27,22 @@
     assert data == line.encode() * (5_000 - writer.lost)
     os.close(readable)
     os.close(writable)
+
+
+def test_the_end_of_a_process_writes_no_traceback() -> None:
+    """Guards against an error at every stop, where on-call engineers look first."""
+    program = (
+        "from absl import logging\n"
+        "from heathermount.gateway.logs import start_logging\n"
+        "start_logging()\n"
+        "logging.info('event=node-stopped')\n"
+    )
+    ended = subprocess.run(
+        [sys.executable, "-c", program],
+        env=make_environment(),
+        capture_output=True,
+        check=True,
+        timeout=30,
+    )
+    assert b"event=node-stopped" in ended.stdout
+    assert ended.stderr == b""
