Read settings again that were half written at a node's start

Traced: the test writes the settings again and again while the node starts, and the node reads an empty file, names it invalid and ends with 2; the test then waits for its start in vain. On a platform whose file is not replaced at once, a node ends by itself the same way.

Change: a starting node reads an invalid file up to five times, 0.1 s apart, before it gives up.

Two new tests; the first fails without the change.

Ruled out: SIGHUP that ends the node (exit code 2, not -1).

--- a/src/heathermount/gateway/reloading.py
+++ b/src/heathermount/gateway/reloading.py
@@ -1,6 +1,7 @@
-"""Takes over a changed settings file, with or without a signal."""
+"""Reads the settings file at the start and whenever it has changed."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Final
@@ -9,12 +10,31 @@
 
 from heathermount.gateway.settings import GatewaySettings
 
-__all__ = ["SettingsReloader"]
+__all__ = ["SettingsReloader", "read_settings"]
+
+# A starting node reads an invalid file again this often, with this pause in
+# seconds: it may just be written.
+READ_ATTEMPTS: Final = 5
+READ_PAUSE_S: Final = 0.1
 
 # Period at which the file is compared with what was read, in seconds.
 POLL_S: Final = 2.0
 
 
+def read_settings(path: str) -> GatewaySettings:
+    """Read and check the settings of a starting node.
+
+    Raises an exception group of all problems if the file stays invalid.
+    """
+    for _ in range(READ_ATTEMPTS - 1):
+        try:
+            return GatewaySettings.from_file(path)
+        except ExceptionGroup as problems:
+            logging.warning('event=settings-invalid error="%s"', problems.exceptions[0])
+            time.sleep(READ_PAUSE_S)
+    return GatewaySettings.from_file(path)
+
+
 class SettingsReloader:
     """Reads a settings file again; an invalid one changes nothing."""
 
--- a/src/heathermount/platform/daemon.py
+++ b/src/heathermount/platform/daemon.py
@@ -12,7 +12,7 @@
 from heathermount.gateway import GatewayNode, GatewaySettings
 from heathermount.gateway.decisions import DecisionLog
 from heathermount.gateway.logs import LineWriter, start_logging
-from heathermount.gateway.reloading import SettingsReloader
+from heathermount.gateway.reloading import SettingsReloader, read_settings
 from heathermount.platform.dialect import PlatformDialect
 from heathermount.platform.heartbeats import HeartbeatListener
 from heathermount.platform.operator import PlatformConfigurationReader
@@ -58,7 +58,7 @@
         print(f"set {SETTINGS_VARIABLE} to the settings file", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     try:
-        settings = GatewaySettings.from_file(path)
+        settings = read_settings(path)
     except ExceptionGroup as problems:
         # All problems of the file, each with its remedy.
         for problem in problems.exceptions:
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -1,13 +1,18 @@
 """Settings of gateway nodes are checked in full before anything starts."""
 
 import copy
+import threading
 from pathlib import Path
 from typing import Any
 
 import pytest
 import tomli_w
 
-from heathermount.gateway.reloading import SettingsReloader
+from heathermount.gateway.reloading import (
+    READ_PAUSE_S,
+    SettingsReloader,
+    read_settings,
+)
 from heathermount.gateway.settings import GatewaySettings
 
 VALID: dict[str, Any] = {
@@ -79,3 +84,23 @@
     path.write_bytes(tomli_w.dumps(VALID | {"bounds": {"grace": "9s"}}).encode())
     reloader.reload()
     assert applied[0].bounds.grace == "9s"
+
+
+def test_a_starting_node_waits_for_a_file_that_is_being_written(tmp_path: Path) -> None:
+    """Guards against a node that ends because its settings were half written."""
+    path = tmp_path / "node.toml"
+    path.write_text("")
+    writing = threading.Timer(
+        1.5 * READ_PAUSE_S, path.write_bytes, [tomli_w.dumps(VALID).encode()]
+    )
+    writing.start()
+    assert read_settings(str(path)).node.name == "n-1"
+    writing.join()
+
+
+def test_a_starting_node_reports_a_file_that_stays_invalid(tmp_path: Path) -> None:
+    """Guards against a node that waits for ever instead of naming the problem."""
+    path = tmp_path / "node.toml"
+    path.write_text("[node")
+    with pytest.raises(ExceptionGroup, match="invalid file"):
+        read_settings(str(path))
