Pause after a departure record that changed meanwhile

A record that another process changed between the read and the write was read again at once, without a bound: a store that refuses the lease each time would be called in a loop. Each 421 and each repeated DELETE also told the registry of a change that was none.

Change: such a write fails like others and is tried again after a pause; the registry is told only when the server starts or stops serving.

--- a/src/heathermount/gateway/departure_keeper.py
+++ b/src/heathermount/gateway/departure_keeper.py
@@ -90,20 +90,19 @@
 
     async def _synchronise(self) -> None:
         """Merge the record in the store with what this process knows."""
-        while True:
-            item = await self._store.get(self._key)
-            revision = item.version if item is not None else 0
-            stored = self._decode(item.value) if item is not None else {}
-            self._departures.merge(stored)
-            self._loaded()
-            latest = self._departures.snapshot()
-            # Compared with the revision that was read: a write whose answer was
-            # lost may be done late and must not undo this one.
-            if latest == stored or await self._write(latest, revision):
-                async with self._saved_changed:
-                    self._saved = latest
-                    self._saved_changed.notify_all()
-                return
+        item = await self._store.get(self._key)
+        revision = item.version if item is not None else 0
+        stored = self._decode(item.value) if item is not None else {}
+        self._departures.merge(stored)
+        self._loaded()
+        latest = self._departures.snapshot()
+        # Compared with the revision that was read: a write whose answer was lost
+        # may be done late and must not undo this one.
+        if latest != stored and not await self._write(latest, revision):
+            raise StoreUnavailable("the departures were changed meanwhile")
+        async with self._saved_changed:
+            self._saved = latest
+            self._saved_changed.notify_all()
 
     async def _write(self, latest: dict[str, int], revision: int) -> bool:
         lease_id = await self._store.grant_lease(KEPT_S)
--- a/src/heathermount/gateway/execution.py
+++ b/src/heathermount/gateway/execution.py
@@ -147,21 +147,26 @@
         served = self.serving
         if self._lifecycle.take(announcement):
             self._start(announcement)
-        elif self.serving != served:
-            self._updated()
+        else:
+            self._tell_change(served)
 
     def withdraw(self, server_id: str) -> None:
         """Take a backend server out of service: it has left."""
+        served = self.serving
         self._lifecycle.withdraw(server_id)
-        self._updated()
+        self._tell_change(served)
 
     def confirm_departures(self) -> None:
         """Take note that the departures which earlier processes took are known."""
-        serving, announcement = self.serving, self.announcement
+        served, announcement = self.serving, self.announcement
         if self._lifecycle.confirm():
             assert announcement is not None
             self._start(announcement)
-        elif self.serving != serving:
+        else:
+            self._tell_change(served)
+
+    def _tell_change(self, served: bool) -> None:
+        if self.serving != served:
             self._updated()
 
     def _start(self, announcement: Announcement) -> None:
@@ -370,8 +375,9 @@
             self.admission.report_server(load.queued)
         if answer.status == MISDIRECTED:
             # Another server has the address now.
+            served = self.serving
             self._lifecycle.replace(announcement)
-            self._updated()
+            self._tell_change(served)
             refusal = make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
             return answer_of(refusal, sent=True), RunResult.FAILED
         if find_header(answer.headers, dialect.not_executed):
--- a/src/heathermount/gateway/upstream.py
+++ b/src/heathermount/gateway/upstream.py
@@ -151,6 +151,7 @@
 
     def cut_off(self, cause: str) -> None:
         """Give up an answer that is too long and close its connection."""
+        # A server that goes on sending has not crashed.
         self._begun = True
         self._fail(f"the server's answer was cut off: {cause}")
         self.close()
