Write a node's entry again when a late write has replaced it

A write whose answer was lost may be done seconds later, over a newer entry of the same node. The node looked only whether its entry was gone: others did not choose its server, or chose one that had left, until the entry changed again.

Change: a node that sees an entry of its own with another incarnation or server than it has now writes it again.

Weighed: a condition on the revision, which needs a read before each write and fails when the lease's end has removed the entry.

--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -199,13 +199,17 @@
     async def _read_all(self) -> None:
         items, self._revision = await self._store.read_prefix(NODES_PREFIX)
         present = set()
+        own = None
         for key, item in items.items():
             present.add(key.removeprefix(NODES_PREFIX))
-            self._take(key, item.value)
+            own = self._take(key, item.value) or own
         for node in self.nodes.keys() - present:
             self._miss(node)
-        if self._written is not None and self._record.node not in present:
-            self._register_again()
+        if self._written is not None:
+            if self._record.node not in present:
+                self._register_again()
+            elif own is not None:
+                self._write_again(own)
         self.synchronised = True
         self._changed()
 
@@ -214,16 +218,18 @@
         changes = await self._store.watch(NODES_PREFIX, self._revision, wait_s)
         self._revision = changes.revision
         own_key = NODES_PREFIX + self._record.node
-        own_lapsed = False
+        own, own_lapsed = None, False
         for change in changes.events:
             if change.key == own_key:
                 own_lapsed = change.value is None
-            elif change.value is None:
+            if change.value is None:
                 self._miss(change.key.removeprefix(NODES_PREFIX))
             else:
-                self._take(change.key, change.value)
+                own = self._take(change.key, change.value) or own
         if own_lapsed:
             self._register_again()
+        elif own is not None:
+            self._write_again(own)
         dropped = self._drop_missing()
         if changes.events or dropped:
             self._changed()
@@ -240,14 +246,27 @@
         self._written = None
         self._updated.set()
 
-    def _take(self, key: str, value: bytes) -> None:
+    def _write_again(self, found: NodeRecord) -> None:
+        """Write this node's entry anew if the store has an older one.
+
+        A write whose answer was lost may be done late, over a newer entry.
+        """
+        own = self._record
+        if (found.incarnation, found.server) == (own.incarnation, own.server):
+            return
+        logging.warning("event=registration-outdated incarnation=%s", found.incarnation)
+        self._written = None
+        self._updated.set()
+
+    def _take(self, key: str, value: bytes) -> NodeRecord | None:
+        """Take the entry of another node; return it if it is this node's own."""
         try:
             record = RECORD_DECODER.decode(value)
         except (msgspec.MsgspecError, RecursionError) as error:
             logging.warning('event=entry-malformed key=%s error="%s"', key, error)
-            return
+            return None
         if record.node == self._record.node:
-            return
+            return record
         known = self.nodes.get(record.node)
         self._missing_since.pop(record.node, None)
         self.nodes[record.node] = record
@@ -255,6 +274,7 @@
             logging.info(
                 "event=node-joined peer=%s service=%s", record.node, record.service
             )
+        return None
 
     def _miss(self, node: str) -> None:
         """Note that an entry is gone; a node that still answers may come back."""
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -264,6 +264,20 @@
     run_async(check)
 
 
+def test_a_late_write_of_an_older_entry_does_not_hide_a_server() -> None:
+    """Guards against a lost write that the store does late, over a newer one."""
+
+    async def check() -> None:
+        async with run_fleet(("pantry", "orders")) as (store, nodes):
+            known = nodes[1].node.registry.nodes
+            older = msgspec.structs.replace(known["n-0"], server=None)
+            store.operate("nodes/n-0", msgspec.msgpack.encode(older))
+            await wait_for(lambda: known["n-0"].server is None)
+            await wait_for(lambda: known["n-0"].server is not None)
+
+    run_async(check)
+
+
 def test_nodes_are_back_after_the_store_was_away() -> None:
     """Guards against entries that lapsed with the store and stay away."""
 
