Share the listener of the stand-ins of servers

Cause: read as a newcomer. Two stand-ins and three tests repeated how they listen and how they delay connections.

Change: standins/listening and delay_connections in the builders.

--- a/src/heathermount/standins/endless.py
+++ b/src/heathermount/standins/endless.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from typing import Final
 
+from heathermount.standins.listening import ListeningStandIn
+
 __all__ = ["EndlessAnswer", "EndlessServerStandIn"]
 
 OK: Final = b"HTTP/1.1 200 OK\r\n"
@@ -23,7 +25,7 @@
     TRAILERS = "trailers"
 
 
-class EndlessServerStandIn:
+class EndlessServerStandIn(ListeningStandIn):
     """Answers each request without end until the caller closes.
 
     Sends `chunk_bytes` at a time with a pause of `pause_s` seconds between.
@@ -33,45 +35,21 @@
     def __init__(
         self, kind: EndlessAnswer, chunk_bytes: int = 65_536, pause_s: float = 0.0
     ) -> None:
+        super().__init__()
         self.kind = kind
         self.chunk_bytes = chunk_bytes
         self.pause_s = pause_s
         self.healthy: set[str] = set()
-        self.address = ""
-        self.open_connections = 0
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
 
-    def stop(self) -> None:
-        assert self._server is not None
-        self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def _accept(
+    async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.open_connections += 1
-        self._writers.add(writer)
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                if head.split(b" ")[1].decode().lstrip("/") in self.healthy:
-                    writer.write(WHOLE)
-                else:
-                    await self._answer(writer)
-        except (OSError, asyncio.IncompleteReadError):
-            # The caller has closed the connection.
-            return
-        finally:
-            self.open_connections -= 1
-            self._writers.discard(writer)
-            writer.close()
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            if head.split(b" ")[1].decode().lstrip("/") in self.healthy:
+                writer.write(WHOLE)
+            else:
+                await self._answer(writer)
 
     async def _answer(self, writer: asyncio.StreamWriter) -> None:
         start, part = make_parts(self.kind, self.chunk_bytes)
--- /dev/null
+++ b/src/heathermount/standins/listening.py
@@ -0,0 +1,55 @@
+"""What stand-ins of servers share: a listener on loopback and its connections."""
+
+import asyncio
+from typing import Final
+
+__all__ = ["ListeningStandIn"]
+
+READ_LIMIT_BYTES: Final = 1_048_576
+
+
+class ListeningStandIn:
+    """Accepts connections until it is stopped; subclasses serve them."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        # Connections that were made so far, and those that are open.
+        self.connections = 0
+        self.open_connections = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(
+            self._accept, "127.0.0.1", 0, limit=READ_LIMIT_BYTES
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """End like a crashed process: nothing listens and connections break."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self.open_connections += 1
+        self._writers.add(writer)
+        try:
+            await self._serve_connection(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            # The caller has closed the connection.
+            return
+        finally:
+            self.open_connections -= 1
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        raise NotImplementedError
--- a/src/heathermount/standins/platform_server.py
+++ b/src/heathermount/standins/platform_server.py
@@ -4,11 +4,10 @@
 import json
 from collections.abc import Awaitable, Callable
 from enum import Enum
-from typing import Final
 
-__all__ = ["Fault", "PlatformServerStandIn", "ServedRequest"]
+from heathermount.standins.listening import ListeningStandIn
 
-READ_LIMIT_BYTES: Final = 1_048_576
+__all__ = ["Fault", "PlatformServerStandIn", "ServedRequest"]
 
 
 class Fault(Enum):
@@ -56,38 +55,21 @@
         return self.headers.get("x-heathermount-tenant", "")
 
 
-class PlatformServerStandIn:
+class PlatformServerStandIn(ListeningStandIn):
     """One backend server: runs requests, remembers them, answers with faults.
 
     `work` is awaited for each run, `faults` are used up in order.
     """
 
     def __init__(self, server_id: str, work_s: float = 0.0) -> None:
+        super().__init__()
         self.server_id = server_id
         self.work_s = work_s
         self.work: Callable[[ServedRequest], Awaitable[int]] | None = None
         self.faults: list[Fault] = []
         self.served: list[ServedRequest] = []
         self.cancelled = 0
-        self.connections = 0
         self.keep_alive = ""
-        self.address = ""
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(
-            self._accept, "127.0.0.1", 0, limit=READ_LIMIT_BYTES
-        )
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    def stop(self) -> None:
-        """End like a crashed process: nothing listens and connections break."""
-        assert self._server is not None
-        self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
 
     def make_heartbeat(
         self, service: str, slots: int, sequence: int, state: str, born_ms: int
@@ -109,20 +91,11 @@
     def ids(self) -> list[str]:
         return [request.request_id for request in self.served]
 
-    async def _accept(
+    async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.connections += 1
-        self._writers.add(writer)
-        try:
-            while await self._serve(reader, writer):
-                pass
-        except (OSError, asyncio.IncompleteReadError):
-            # The node has closed the connection.
-            return
-        finally:
-            self._writers.discard(writer)
-            writer.close()
+        while await self._serve(reader, writer):
+            pass
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from random import Random
 from typing import Any
+from unittest.mock import patch
 
 from heathermount.clocks import Clock, SystemClock
 from heathermount.config.settings import PolicySettings
@@ -382,6 +383,20 @@
     )
 
 
+@contextmanager
+def delay_connections(wait: Callable[[], Awaitable[None]]) -> Iterator[None]:
+    """Await something before each connection that this event loop makes."""
+    loop = asyncio.get_running_loop()
+    connect = loop.create_connection
+
+    async def connect_late(*arguments: Any, **options: Any) -> Any:
+        await wait()
+        return await connect(*arguments, **options)
+
+    with patch.object(loop, "create_connection", connect_late):
+        yield
+
+
 @asynccontextmanager
 async def serve_platform(_: object) -> AsyncIterator[WatchedStore]:
     """Serve the platform's store and yield its client."""
--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -1,13 +1,12 @@
 """Backend servers that leave: what a node remembers of it, and what it still sends."""
 
 import asyncio
-from typing import Any
-from unittest.mock import patch
 
 import pytest
 
 from builders_gateway import (
     RunningNode,
+    delay_connections,
     make_announcement,
     make_execute,
     make_execution,
@@ -200,16 +199,13 @@
         await server.start()
         execution = make_execution(clock, make_tracker(clock))
         execution.announce(make_announcement(server.address))
-        loop = asyncio.get_running_loop()
-        connect = loop.create_connection
         connecting, release = asyncio.Event(), asyncio.Event()
 
-        async def connect_late(*arguments: Any, **options: Any) -> Any:
+        async def wait() -> None:
             connecting.set()
             await release.wait()
-            return await connect(*arguments, **options)
 
-        with patch.object(loop, "create_connection", connect_late):
+        with delay_connections(wait):
             run = asyncio.create_task(execution.execute(make_execute()))
             await connecting.wait()
             execution.withdraw("i-1")
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import logging
-from typing import Any
-from unittest.mock import patch
 
 import pytest
 
 from builders_gateway import (
+    delay_connections,
     make_announcement,
     make_document,
     make_execute,
@@ -356,14 +355,11 @@
         await server.start()
         execution = make_execution(clock, make_tracker(clock))
         execution.announce(make_announcement(server.address))
-        loop = asyncio.get_running_loop()
-        connect = loop.create_connection
 
-        async def connect_late(*arguments: Any, **options: Any) -> Any:
+        async def wait() -> None:
             clock.advance(0.7)
-            return await connect(*arguments, **options)
 
-        with patch.object(loop, "create_connection", connect_late):
+        with delay_connections(wait):
             answer = await execution.execute(make_execute(deadline_s=1.0))
         assert answer.outcome == Outcome.RAN
         (request,) = server.served
@@ -379,12 +375,7 @@
     async def check() -> None:
         place = Place()
         await place.start()
-        loop = asyncio.get_running_loop()
-
-        async def never_connect(*arguments: Any, **options: Any) -> Any:
-            await loop.create_future()
-
-        with patch.object(loop, "create_connection", never_connect):
+        with delay_connections(asyncio.Event().wait):
             answer = await place.execution.execute(make_execute(deadline_s=0.05))
         assert (answer.reason, answer.outcome) == (Reason.DEADLINE, Outcome.NOT_RUN)
         assert not answer.sent
