--- a/src/heathermount/standins/platform_server.py
+++ b/src/heathermount/standins/platform_server.py
@@ -61,7 +61,8 @@
 
     Each request takes the first entry of `faults`. If `work` is set, it is awaited
     for each request and returns the status; otherwise a request takes `work_s`
-    seconds. `keep_alive` is the value of the Keep-Alive header, if any.
+    seconds. `keep_alive` is the value of the Keep-Alive header, if any. `headers`
+    are further headers of each answer.
     """
 
     def __init__(self, server_id: str, work_s: float = 0.0) -> None:
@@ -73,6 +74,7 @@
         self.served: list[ServedRequest] = []
         self.cancelled = 0
         self.keep_alive = ""
+        self.headers: dict[str, str] = {}
 
     def make_heartbeat(
         self, service: str, slots: int, sequence: int, state: str, born_ms: int
@@ -110,7 +112,9 @@
             writer.write(make_response(421, request.request_id, b"", signed=False))
             return True
         if fault is Fault.SHED:
-            not_executed = "X-Heathermount-Not-Executed: 1\r\n"
+            not_executed = (
+                "X-Heathermount-Not-Executed: 1\r\n" + self._format_extra_headers()
+            )
             writer.write(
                 make_response(503, request.request_id, b"", False, not_executed)
             )
@@ -119,6 +123,12 @@
         status = await self._execute(request, reader)
         return self._write_response(writer, request, fault, status)
 
+    def _format_extra_headers(self) -> str:
+        headers = dict(self.headers)
+        if self.keep_alive:
+            headers["Keep-Alive"] = self.keep_alive
+        return "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+
     async def _execute(
         self, request: ServedRequest, reader: asyncio.StreamReader
     ) -> int:
@@ -142,7 +152,7 @@
     ) -> bool:
         request_id = request.request_id
         body = f"{self.server_id} {request.target}".encode()
-        extra = f"Keep-Alive: {self.keep_alive}\r\n" if self.keep_alive else ""
+        extra = self._format_extra_headers()
         response = make_response(status, request_id, body, True, extra)
         match fault:
             case Fault.ERROR:
