Log the request rate that a backend server states

Cause: the logs cannot tell whether a node reads the limit of a server, applies it, or has lost it. Change: the adapter knows both headers; the executing node logs each change of the stated limit with the number of requests sent so far. No decision is changed.

--- a/src/heathermount/gateway/dialect.py
+++ b/src/heathermount/gateway/dialect.py
@@ -23,6 +23,10 @@
     response_stamp: bytes
     not_executed: bytes
     server_load: bytes
+    # Requests per second that a server in need takes, while it states any.
+    server_limit: bytes
+    # Stated by a server that is about to leave.
+    server_leaving: bytes
 
     def parse_deadline(self, value: bytes) -> float | None:
         """Return the client's timeout in seconds; None if invalid."""
@@ -33,5 +37,8 @@
     def parse_parent_id(self, request_id: bytes) -> bytes:
         """Return the ID of the request that made a nested call, or b""."""
 
+    def parse_server_limit(self, value: bytes) -> float | None:
+        """Return the requests per second that a server takes; None if invalid."""
+
     def parse_load(self, value: bytes) -> Load | None:
         """Return the load that a server reports; None if invalid."""
--- a/src/heathermount/gateway/request_executor.py
+++ b/src/heathermount/gateway/request_executor.py
@@ -81,6 +81,8 @@
         "_pool",
         "_quarantine",
         "_random",
+        "_requests_sent",
+        "_server_rate",
         "_service",
         "_settings",
         "_tracker",
@@ -121,6 +123,9 @@
         self._metrics = metrics
         self._on_serving_changed = on_serving_changed
         self._lifecycle = ServerLifecycle(clock, departures, log)
+        # Requests per second that the server states it takes; None without a limit.
+        self._server_rate: float | None = None
+        self._requests_sent = 0
         self._pool: ServerConnectionPool | None = None
         self.admission: AdmissionController | None = None
         # Requests queued or running here whose callers are still waiting.
@@ -326,6 +331,7 @@
             if time_left_s <= 0.0:
                 raise make_refusal(Reason.DEADLINE, Outcome.NOT_RUN)
             sent = True
+            self._requests_sent += 1
             return self._encode_request(message, announcement.server_id, time_left_s)
 
         try:
@@ -392,6 +398,7 @@
             self._notify_if_changed(was_serving)
             refusal = make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
             return refusal_to_answer(refusal, sent=True), RunResult.FAILED
+        self._record_stated_limit(response, announcement)
         if find_header(response.headers, dialect.not_executed):
             refusal = make_refusal(Reason.SHED, Outcome.NOT_RUN)
             return refusal_to_answer(refusal, sent=True), self._classify_server_shed()
@@ -413,6 +420,32 @@
             result,
         )
 
+    def _record_stated_limit(
+        self, response: ServerResponse, announcement: Announcement
+    ) -> None:
+        """Record the request rate that the server states it takes, and log changes."""
+        dialect = self._dialect
+        value = find_header(response.headers, dialect.server_limit)
+        rate = dialect.parse_server_limit(value) if value else None
+        if value and rate is None:
+            self._log.record(
+                "server-limit-malformed",
+                server=announcement.server_id,
+                value=value.decode("latin-1"),
+            )
+            return
+        if rate == self._server_rate:
+            return
+        # The count of requests sent shows the rate between two changes.
+        self._log.record(
+            "server-limit-changed",
+            server=announcement.server_id,
+            rate=rate if rate is not None else "none",
+            former=self._server_rate if self._server_rate is not None else "none",
+            sent=self._requests_sent,
+        )
+        self._server_rate = rate
+
     def _classify_server_shed(self) -> RunResult:
         """Return whether a request shed by the server counts as overload or failure.
 
--- a/src/heathermount/platform/dialect.py
+++ b/src/heathermount/platform/dialect.py
@@ -1,5 +1,6 @@
 """Names and formats of the platform's HTTP headers."""
 
+import math
 from typing import Final
 
 from heathermount.values import Load
@@ -23,6 +24,8 @@
     response_stamp = b"x-heathermount-response-stamp"
     not_executed = b"x-heathermount-not-executed"
     server_load = b"x-heathermount-server-load"
+    server_limit = b"server-limit"
+    server_leaving = b"server-leaving"
 
     def parse_deadline(self, value: bytes) -> float | None:
         """Parse a time in milliseconds; return it in seconds, or None if malformed."""
@@ -38,6 +41,14 @@
         """
         return request_id.rpartition(b".")[0]
 
+    def parse_server_limit(self, value: bytes) -> float | None:
+        """Parse a decimal number of requests per second; None if it is malformed."""
+        try:
+            rate = float(value)
+        except ValueError:
+            return None
+        return rate if math.isfinite(rate) and rate >= 0.0 else None
+
     def parse_load(self, value: bytes) -> Load | None:
         """Parse "running,waiting,slots"; return None if it is malformed."""
         parts = value.split(b",")
