Keep the request rate that a backend server states

Callers saw: nothing; a server in need that named a limit in its answers got as many requests as before. Class: what an answer says about its server is dropped with the headers of the answer. Change: the node beside the server passes requests at the stated rate, in the order of importance; the first answer without a rate ends the limit, and a new start of the server has none. All requests to a server pass that node, so the bound needs no agreement. Rate and wait travel with the load of each answer: entry nodes choose servers that take a request at once, and a request that another server can take is refused at once and sent there at no charge. Where all servers are limited, requests wait, and the thresholds refuse the rest at the entry nodes, least important first. The load header may have a fourth field, which made it unreadable.

--- a/src/heathermount/admission/__init__.py
+++ b/src/heathermount/admission/__init__.py
@@ -5,6 +5,7 @@
 from heathermount.admission.early_rejection import ThresholdTable
 from heathermount.admission.fairness import FairCohortScaler
 from heathermount.admission.queue import RequestQueue
+from heathermount.admission.rate_limit import ServerRateLimit
 from heathermount.admission.requests import (
     AdmissionCounts,
     AdmissionRequest,
@@ -27,6 +28,7 @@
     "Permit",
     "RequestQueue",
     "RunResult",
+    "ServerRateLimit",
     "Shed",
     "ThresholdController",
     "ThresholdTable",
--- a/src/heathermount/admission/controller.py
+++ b/src/heathermount/admission/controller.py
@@ -1,5 +1,6 @@
 """Admission of requests to one backend server."""
 
+import asyncio
 from random import Random
 from typing import Final, Self
 
@@ -7,6 +8,7 @@
 
 from heathermount.admission.concurrency_limit import DECISION_INTERVAL_S, AdaptiveLimit
 from heathermount.admission.queue import QueuedRequest, QueuedState, RequestQueue
+from heathermount.admission.rate_limit import ServerRateLimit
 from heathermount.admission.requests import (
     AdmissionCounts,
     AdmissionRequest,
@@ -29,6 +31,13 @@
 # waits about one service time, but at least this many.
 MIN_QUEUE_CAPACITY: Final = 8
 
+# Longest wait in the queue of a server that limits its rate, if the rate allows more
+# than one request to wait. Such a queue only orders requests by importance.
+RATE_QUEUE_S: Final = 0.25
+
+# Shortest delay of the timer that dispatches the next request of a limited server.
+MIN_DISPATCH_DELAY_S: Final = 0.001
+
 # The queue of a class is standing when a request has waited for this many mean
 # service times and at least this many seconds. A full queue is served within one
 # service time, so this happens only when service slows down.
@@ -62,6 +71,7 @@
 
     __slots__ = (
         "_clock",
+        "_dispatch_timer",
         "_drained_event",
         "_draining",
         "_events",
@@ -71,6 +81,7 @@
         "_policy",
         "_queue",
         "_random",
+        "_rate_limit",
         "_running",
         "_threshold_controller",
         "counts",
@@ -82,6 +93,7 @@
         clock: Clock,
         random: Random,
         limit: AdaptiveLimit,
+        rate_limit: ServerRateLimit,
         events: EventLog,
         invariants: Invariants,
     ) -> None:
@@ -92,6 +104,9 @@
         self._events = events
         self._invariants = invariants
         self._limit = limit
+        # Rate that the server itself states.
+        self._rate_limit = rate_limit
+        self._dispatch_timer: asyncio.TimerHandle | None = None
         self._queue = RequestQueue(policy.fair_queueing, policy.cohorts)
         self._threshold_controller = ThresholdController(
             clock.monotonic(), policy.cohorts
@@ -110,10 +125,16 @@
         slots: int,
         events: EventLog,
         invariants: Invariants,
+        rate_limit: ServerRateLimit | None = None,
     ) -> Self:
-        """Create a controller for a server that announced this many slots."""
+        """Create a controller for a server that announced this many slots.
+
+        `rate_limit` is for servers that may state a limit in their answers.
+        """
         limit = AdaptiveLimit(slots, policy.adaptive_limit, clock.monotonic())
-        return cls(policy, clock, random, limit, events, invariants)
+        if rate_limit is None:
+            rate_limit = ServerRateLimit.unlimited()
+        return cls(policy, clock, random, limit, rate_limit, events, invariants)
 
     async def admit(self, request: AdmissionRequest) -> Permit:
         """Wait until the request may run.
@@ -128,6 +149,9 @@
         if not self._policy.admission:
             return self._grant(request, now)
         self._end_elapsed_intervals(now)
+        if not request.may_wait and self._rate_wait_s(now) > 0.0:
+            # Another server takes it, so that it is no excess of the service.
+            raise self._make_refusal(QueuedState.SHED)
         threshold_controller = self._threshold_controller
         threshold_controller.record_arrival(request.importance, request.cohort)
         remaining_s = request.deadline - now
@@ -144,7 +168,8 @@
                 and remaining_s < self._limit.service_time.shortest_total_s
             ):
                 raise self._make_refusal(QueuedState.EXPIRED)
-            return self._grant(request, now)
+            if self._rate_limit.try_take(self._running, now):
+                return self._grant(request, now)
         return await self._wait_in_queue(request, now)
 
     def release(self, permit: Permit, result: RunResult) -> None:
@@ -170,7 +195,11 @@
         return self._threshold_controller.threshold()
 
     def load(self) -> Load:
-        return Load(self._running, len(self._queue), self._limit.value)
+        rate = self._rate_limit.rate
+        if rate is None:
+            return Load(self._running, len(self._queue), self._limit.value)
+        wait_s = self._rate_wait_s(self._clock.monotonic())
+        return Load(self._running, len(self._queue), self._limit.value, rate, wait_s)
 
     def resize(self, slots: int, cold_start_s: float = 0.0) -> None:
         """Apply the slots of a new announcement by the backend server."""
@@ -182,6 +211,14 @@
         """Record the queue length from the backend server's own load report."""
         self._limit.record_server_queue(queued, self._clock.monotonic())
 
+    def update_rate_limit(self, stated_rate: float | None) -> None:
+        """Apply the rate that the backend server states in an answer, if any."""
+        now = self._clock.monotonic()
+        if self._rate_limit.update(stated_rate, now):
+            self._cancel_dispatch_timer()
+            self._shed_excess()
+            self._dispatch(now)
+
     async def drain(self) -> None:
         """Refuse new requests; return when none is running or after `resume`.
 
@@ -211,6 +248,7 @@
 
     async def _wait_in_queue(self, request: AdmissionRequest, now: float) -> Permit:
         entry = self._enqueue(request, now)
+        self._schedule_dispatch(now)
         if entry.state is QueuedState.WAITING:
             entry.settled_event = anyio.Event()
             timeout_s = (
@@ -235,6 +273,8 @@
         if not self._queue.is_standing(request.importance, self._standing_cutoff(now)):
             ahead = self._queue.count_ahead(request.importance)
             wait_s = ahead * service_time.mean_total_s / self._limit.value
+            if self._rate_limit.rate is not None:
+                wait_s = max(wait_s, ahead / self._rate_limit.rate)
         if request.deadline - now < wait_s + service_time.shortest_total_s:
             self._threshold_controller.record_excess(request.importance, request.cohort)
             raise self._make_refusal(QueuedState.EXPIRED)
@@ -267,14 +307,47 @@
         if len(queue):
             self._drop_expired(now)
             standing_cutoff = self._standing_cutoff(now)
-            while self._running < self._limit.value:
+            while (
+                len(queue)
+                and self._running < self._limit.value
+                and self._rate_limit.try_take(self._running, now)
+            ):
                 entry = queue.pop(standing_cutoff)
-                if entry is None:
-                    break
+                assert entry is not None
                 entry.permit = self._grant(entry.request, now)
                 entry.settle(QueuedState.GRANTED)
+            self._schedule_dispatch(now)
         self._signal_if_drained()
 
+    def _schedule_dispatch(self, now: float) -> None:
+        """Dispatch again when the server's rate allows the next request."""
+        if not len(self._queue) or self._running >= self._limit.value:
+            # A release dispatches the next one.
+            return
+        if self._dispatch_timer is not None:
+            return
+        delay_s = self._rate_limit.compute_wait_s(self._running, now)
+        self._dispatch_timer = asyncio.get_running_loop().call_later(
+            max(MIN_DISPATCH_DELAY_S, delay_s), self._dispatch_scheduled
+        )
+
+    def _cancel_dispatch_timer(self) -> None:
+        if self._dispatch_timer is not None:
+            self._dispatch_timer.cancel()
+            self._dispatch_timer = None
+
+    def _dispatch_scheduled(self) -> None:
+        self._dispatch_timer = None
+        now = self._clock.monotonic()
+        self._end_elapsed_intervals(now)
+        self._dispatch(now)
+
+    def _rate_wait_s(self, now: float) -> float:
+        """Return the wait of one more request because of the server's stated rate."""
+        if self._rate_limit.rate is None:
+            return 0.0
+        return self._rate_limit.compute_wait_s(self._running, now, len(self._queue))
+
     def _drop_expired(self, now: float) -> None:
         self._queue.drop_expired(now + self._limit.service_time.shortest_total_s)
 
@@ -323,9 +396,12 @@
         threshold_controller = self._threshold_controller
         rejected_any_before = threshold_controller.rejects_any
         queued = len(self._queue)
-        limit = self._limit.value
         threshold_controller.end_interval(
-            self._running, queued, limit, self._queue_capacity(), now
+            self._running,
+            queued,
+            self._sustainable_concurrency(),
+            self._queue_capacity(),
+            now,
         )
         if intervals > 1 and self._running < self._limit.value:
             threshold_controller.skip_idle_intervals(intervals - 1)
@@ -344,8 +420,18 @@
         mean_total_s = self._limit.service_time.mean_total_s
         return now - max(MIN_STANDING_WAIT_S, STANDING_SERVICE_TIMES * mean_total_s)
 
+    def _sustainable_concurrency(self) -> float:
+        """Return how many requests run at once when the server is fully used."""
+        limit = float(self._limit.value)
+        if self._rate_limit.rate is None:
+            return limit
+        return min(limit, self._rate_limit.rate * self._limit.service_time.mean_total_s)
+
     def _queue_capacity(self) -> int:
-        return max(MIN_QUEUE_CAPACITY, self._limit.value)
+        capacity = max(MIN_QUEUE_CAPACITY, self._limit.value)
+        if self._rate_limit.rate is None:
+            return capacity
+        return min(capacity, max(1, int(RATE_QUEUE_S * self._rate_limit.rate)))
 
     def _make_refusal(self, state: QueuedState) -> Shed | DeadlinePassed | Draining:
         """Count a refusal and return the exception to raise."""
@@ -356,5 +442,6 @@
             self.counts.deadline_passed += 1
             return DeadlinePassed()
         self.counts.shed += 1
+        mean_s = max(MEAN_RETRY_AFTER_S, self._rate_wait_s(self._clock.monotonic()))
         # Jitter, so that refused callers do not all retry at the same time.
-        return Shed(MEAN_RETRY_AFTER_S * self._random.uniform(0.5, 1.5))
+        return Shed(mean_s * self._random.uniform(0.5, 1.5))
--- a/src/heathermount/admission/requests.py
+++ b/src/heathermount/admission/requests.py
@@ -39,13 +39,15 @@
     `root` is the id of the root request. `weight` is the organisation's share
     relative to others. `resend` marks a repeated request of a client, which is
     served later and shed earlier. `deadline` is in seconds of the node's
-    monotonic clock.
+    monotonic clock. A request that must not wait is shed if the server limits its
+    rate, because another server can take it.
     """
 
     __slots__ = (
         "cohort",
         "deadline",
         "importance",
+        "may_wait",
         "organisation",
         "resend",
         "root",
@@ -61,6 +63,7 @@
         cohort: int,
         deadline: float,
         resend: bool = False,
+        may_wait: bool = True,
     ) -> None:
         self.root = root
         self.organisation = organisation
@@ -69,6 +72,7 @@
         self.cohort = cohort
         self.deadline = deadline
         self.resend = resend
+        self.may_wait = may_wait
 
 
 class Permit:
--- a/src/heathermount/admission/shedding.py
+++ b/src/heathermount/admission/shedding.py
@@ -139,9 +139,13 @@
             self._min_queue_length = queued
 
     def end_interval(
-        self, running: int, queued: int, limit: int, queue_capacity: int, now: float
+        self, running: int, queued: int, limit: float, queue_capacity: int, now: float
     ) -> None:
-        """Adjust the threshold and start the next interval."""
+        """Adjust the threshold and start the next interval.
+
+        `limit` is the number of requests that run at once when the server is fully
+        used.
+        """
         self.update_occupancy(running + queued, queued, now)
         mean_occupancy = self._request_seconds / (now - self._interval_started_at)
         standing = self._min_queue_length * 2 > queue_capacity
--- a/src/heathermount/gateway/entry_handler.py
+++ b/src/heathermount/gateway/entry_handler.py
@@ -384,6 +384,9 @@
         if remaining_s <= PEER_TRAVEL_MARGIN_S:
             raise make_refusal(Reason.DEADLINE, call.outcome)
         message.deadline_s = remaining_s - PEER_TRAVEL_MARGIN_S
+        message.may_wait = not self._balancer.has_room(
+            message.service, call.tried_nodes
+        )
         started_at = self._balancer.record_start(member)
         answer: Answer | None = None
         ran_since: float | None = None
@@ -429,6 +432,7 @@
                 success,
                 answer.load if answer is not None else None,
                 ran_since,
+                answer is not None and answer.limited,
             )
 
     async def _execute_locally(self, message: Execute, remaining_s: float) -> Answer:
--- a/src/heathermount/gateway/messages.py
+++ b/src/heathermount/gateway/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from heathermount.gateway.node_records import NodeChange
-from heathermount.values import Headers, Load, ServiceThreshold
+from heathermount.values import Headers, Load, Reason, ServiceThreshold
 from heathermount.wire.messages import Suspicion
 
 __all__ = [
@@ -43,6 +43,9 @@
     configuration_version: int
     # Hash that identical requests of one organisation share.
     fingerprint: bytes
+    # False if another server can take the request at once: a server that limits its
+    # rate then refuses it instead of letting it wait.
+    may_wait: bool = True
 
 
 class Answer(msgspec.Struct, tag=2, array_like=True):
@@ -65,6 +68,12 @@
     load: Load | None = None
     thresholds: list[ServiceThreshold] = []
 
+    @property
+    def limited(self) -> bool:
+        """Whether the executing node refused the request to keep the server's rate."""
+        rate = self.load.rate if self.load is not None else 0.0
+        return self.reason == Reason.SHED and not self.sent_to_server and rate > 0.0
+
 
 class Ping(msgspec.Struct, tag=3, array_like=True):
     """Link heartbeat, or with `wait_s` a follower's request for news."""
--- a/src/heathermount/gateway/request_executor.py
+++ b/src/heathermount/gateway/request_executor.py
@@ -14,6 +14,7 @@
     Draining,
     Permit,
     RunResult,
+    ServerRateLimit,
     Shed,
 )
 from heathermount.clocks import Clock
@@ -81,10 +82,11 @@
         "_pool",
         "_quarantine",
         "_random",
+        "_rate_limit",
         "_requests_sent",
-        "_server_rate",
         "_service",
         "_settings",
+        "_stated_rate",
         "_tracker",
         "active_requests",
         "admission",
@@ -123,8 +125,9 @@
         self._metrics = metrics
         self._on_serving_changed = on_serving_changed
         self._lifecycle = ServerLifecycle(clock, departures, log)
-        # Requests per second that the server states it takes; None without a limit.
-        self._server_rate: float | None = None
+        # Limit that the server states, and the rate in its latest response.
+        self._rate_limit = ServerRateLimit()
+        self._stated_rate: float | None = None
         self._requests_sent = 0
         self._pool: ServerConnectionPool | None = None
         self.admission: AdmissionController | None = None
@@ -150,8 +153,14 @@
 
     def handle_heartbeat(self, announcement: Announcement) -> None:
         """Handle a heartbeat of the backend server; older ones are ignored."""
-        was_serving = self.serving
-        if self._lifecycle.handle_heartbeat(announcement):
+        was_serving, known = self.serving, self.announcement
+        starts_serving = self._lifecycle.handle_heartbeat(announcement)
+        current = self.announcement
+        if known is None or current is None or not current.has_same_start(known):
+            # A limit belongs to one start of a server.
+            self._rate_limit = ServerRateLimit()
+            self._stated_rate = None
+        if starts_serving:
             self._start_serving(announcement)
         else:
             self._notify_if_changed(was_serving)
@@ -190,6 +199,7 @@
             announcement.usable_slots,
             self._events,
             self._invariants,
+            self._rate_limit,
         )
         logging.info(
             "event=server-announced server=%s born_ms=%d sequence=%d slots=%d "
@@ -256,6 +266,7 @@
             message.importance,
             message.cohort,
             deadline,
+            may_wait=message.may_wait,
         )
         queued_at = self._clock.monotonic()
         permit = await admission.admit(admission_request)
@@ -353,7 +364,10 @@
             return self._handle_incomplete_response(message, error)
         self._lifecycle.record_activity()
         self._quarantine.record_completion(message.fingerprint)
-        return self._interpret_response(message, response, announcement)
+        answer, result = self._interpret_response(message, response, announcement)
+        if response.status != MISDIRECTED_STATUS:
+            self._apply_statements(response, announcement)
+        return answer, result
 
     def _record_suspected_crash(
         self, message: Execute, announcement: Announcement
@@ -398,7 +412,6 @@
             self._notify_if_changed(was_serving)
             refusal = make_refusal(Reason.NO_SERVER, Outcome.NOT_RUN)
             return refusal_to_answer(refusal, sent=True), RunResult.FAILED
-        self._record_stated_limit(response, announcement)
         if find_header(response.headers, dialect.not_executed):
             refusal = make_refusal(Reason.SHED, Outcome.NOT_RUN)
             return refusal_to_answer(refusal, sent=True), self._classify_server_shed()
@@ -420,10 +433,19 @@
             result,
         )
 
-    def _record_stated_limit(
+    def _apply_statements(
+        self, response: ServerResponse, announcement: Announcement
+    ) -> None:
+        """Apply what the server states about itself in any response."""
+        known = self.announcement
+        if known is None or not known.has_same_start(announcement):
+            return
+        self._apply_stated_limit(response, announcement)
+
+    def _apply_stated_limit(
         self, response: ServerResponse, announcement: Announcement
     ) -> None:
-        """Record the request rate that the server states it takes, and log changes."""
+        """Keep the request rate that the server states it takes, and log changes."""
         dialect = self._dialect
         value = find_header(response.headers, dialect.server_limit)
         rate = dialect.parse_server_limit(value) if value else None
@@ -434,17 +456,19 @@
                 value=value.decode("latin-1"),
             )
             return
-        if rate == self._server_rate:
+        if self.admission is not None:
+            self.admission.update_rate_limit(rate)
+        if rate == self._stated_rate:
             return
         # The count of requests sent shows the rate between two changes.
         self._log.record(
             "server-limit-changed",
             server=announcement.server_id,
             rate=rate if rate is not None else "none",
-            former=self._server_rate if self._server_rate is not None else "none",
+            former=self._stated_rate if self._stated_rate is not None else "none",
             sent=self._requests_sent,
         )
-        self._server_rate = rate
+        self._stated_rate = rate
 
     def _classify_server_shed(self) -> RunResult:
         """Return whether a request shed by the server counts as overload or failure.
--- a/src/heathermount/gateway/retry_policy.py
+++ b/src/heathermount/gateway/retry_policy.py
@@ -144,7 +144,11 @@
                 return False
             return self.may_retry_executed(call, answer)
         if not answer.sent_to_server:
-            if answer.reason not in FREE_RETRY_REASONS or call.free_retries_left < 1:
+            # A server that limits its rate refuses what another one takes at once.
+            is_free = answer.reason in FREE_RETRY_REASONS or (
+                answer.limited and not call.message.may_wait
+            )
+            if not is_free or call.free_retries_left < 1:
                 return False
             call.free_retries_left -= 1
             return True
--- a/src/heathermount/platform/dialect.py
+++ b/src/heathermount/platform/dialect.py
@@ -7,6 +7,7 @@
 
 __all__ = ["PlatformDialect"]
 
+# Fields that are read. Some servers add how long work takes at the moment.
 LOAD_FIELD_COUNT: Final = 3
 
 
@@ -50,8 +51,8 @@
         return rate if math.isfinite(rate) and rate >= 0.0 else None
 
     def parse_load(self, value: bytes) -> Load | None:
-        """Parse "running,waiting,slots"; return None if it is malformed."""
-        parts = value.split(b",")
+        """Parse "running,waiting,slots" and more; return None if it is malformed."""
+        parts = value.split(b",")[:LOAD_FIELD_COUNT]
         if len(parts) != LOAD_FIELD_COUNT or not all(part.isdigit() for part in parts):
             return None
         return Load(int(parts[0]), int(parts[1]), max(1, int(parts[2])))
--- a/src/heathermount/routing/balancer.py
+++ b/src/heathermount/routing/balancer.py
@@ -61,6 +61,15 @@
 # Factor by which the response time of an avoided server is multiplied.
 AVOIDED_TIME_FACTOR: Final = 8.0
 
+# Older reports of a server's stated rate no longer count, so that the server is tried
+# again.
+RATE_REPORT_TTL_S: Final = 5.0
+
+# A node whose request was refused because of a server's rate avoids the server for the
+# reported wait, doubled with each further refusal up to this factor. Other nodes wait
+# for the same tokens.
+MAX_RATE_BACKOFF_FACTOR: Final = 8.0
+
 # Share of its limit with which a cold server starts.
 COLD_START_RATIO: Final = 0.1
 
@@ -92,6 +101,11 @@
         "member",
         "other_nodes_requests",
         "outstanding",
+        "rate",
+        "rate_avoided_until",
+        "rate_backoff_factor",
+        "rate_free_at",
+        "rate_reported_at",
         "reported_at",
         "response_time_at",
         "response_time_s",
@@ -111,6 +125,13 @@
         # Requests of other nodes in the last load report, and the report's time.
         self.other_nodes_requests = 0
         self.reported_at = now
+        # Requests per second that the server states it takes, 0 without a limit; when
+        # it takes the next one; and until when this node avoids it.
+        self.rate = 0.0
+        self.rate_reported_at = float("-inf")
+        self.rate_free_at = float("-inf")
+        self.rate_avoided_until = float("-inf")
+        self.rate_backoff_factor = 1.0
         # Smoothed response time of successful calls, and the time of the last one.
         self.response_time_s = 0.0
         self.response_time_at = float("-inf")
@@ -137,6 +158,32 @@
             0, load.running + load.queued - self.outstanding
         )
         self.reported_at = now
+        self.rate = load.rate
+        if load.rate:
+            self.rate_reported_at = now
+            self.rate_free_at = now + load.rate_wait_s
+
+    def record_rate_decision(self, refused: bool, now: float, jitter: float) -> None:
+        """Record whether a request was refused to keep the server's rate."""
+        if not refused:
+            self.rate_backoff_factor = 1.0
+            self.rate_avoided_until = now
+            return
+        wait_s = max(0.0, self.rate_free_at - now)
+        self.rate_avoided_until = now + wait_s * self.rate_backoff_factor * jitter
+        self.rate_backoff_factor = min(
+            MAX_RATE_BACKOFF_FACTOR, 2.0 * self.rate_backoff_factor
+        )
+
+    def is_limited(self, now: float) -> bool:
+        """Whether the server has lately stated a limit of its rate."""
+        return self.rate > 0.0 and now - self.rate_reported_at < RATE_REPORT_TTL_S
+
+    def may_take(self, now: float) -> bool:
+        """Whether the server's rate is likely to allow a request now."""
+        if not self.is_limited(now):
+            return True
+        return now >= max(self.rate_free_at, self.rate_avoided_until)
 
     def estimate_load_ratio(self, now: float, wall: float) -> float:
         """Return the requests per unit of the limit if one more were sent."""
@@ -165,6 +212,7 @@
         "local",
         "mean_response_time_s",
         "next_return_at",
+        "rates_until",
         "refreshed_at",
         "selectable",
         "states",
@@ -178,6 +226,8 @@
         # Zero until a response time is known.
         self.mean_response_time_s = 0.0
         self.refreshed_at = float("-inf")
+        # Until when at least one of the servers counts as limited in its rate.
+        self.rates_until = float("-inf")
 
     def refresh_mean(self, now: float) -> None:
         """Recompute the mean response time if it is too old."""
@@ -243,19 +293,38 @@
             self._update_selectable(group, now)
         wall = self._clock.wall()
         group.refresh_mean(now)
-        if group.local:
-            state, relative_time = self._choose_of_two(
-                group.local, group, tried, now, wall
-            )
+        selectable, local = group.selectable, group.local
+        if now < group.rates_until:
+            selectable = select_within_rates(selectable, tried, now)
+            local = [state for state in selectable if self._is_local(state)]
+        if local:
+            state, relative_time = self._choose_of_two(local, group, tried, now, wall)
             if state is not None and relative_time <= MAX_LOCAL_TIME_RATIO:
                 return state.member
-        state, _ = self._choose_of_two(group.selectable, group, tried, now, wall)
+        state, _ = self._choose_of_two(selectable, group, tried, now, wall)
         if state is None:
             state = self._choose_ejected(group, tried)
         if state is None:
             raise NoServer(service)
         return state.member
 
+    def has_room(self, service: str, tried: Container[str]) -> bool:
+        """Return whether a server that is not in `tried` can take a request at once.
+
+        False if no server limits its rate, because any server then lets requests wait.
+        """
+        group = self._groups.get(service)
+        now = self._clock.monotonic()
+        if group is None or now >= group.rates_until:
+            return False
+        wall = self._clock.wall()
+        return any(
+            state.member.node not in tried
+            and state.may_take(now)
+            and state.estimate_load_ratio(now, wall) <= 1.0
+            for state in group.selectable
+        )
+
     def record_start(self, member: Member) -> float:
         """Count a request that is sent to a server; return the current time."""
         state = self._states.get(state_key(member))
@@ -269,6 +338,7 @@
         success: bool | None,
         load: Load | None = None,
         ran_since: float | None = None,
+        over_rate: bool = False,
     ) -> None:
         """Count the end of a call; every `record_start` needs one `record_end`.
 
@@ -277,6 +347,7 @@
         success, because its reported load already keeps calls away. `ran_since`
         is the time that `record_start` returned; it is given only if the server ran
         the request, so that a fast refusal does not count as a fast answer.
+        `over_rate` tells that it was refused to keep the rate that the server states.
         """
         state = self._states.get(state_key(member))
         if state is None:
@@ -285,6 +356,12 @@
         state.outstanding = max(0, state.outstanding - 1)
         if load is not None:
             state.record_load(load, now)
+            if load.rate:
+                group = self._groups[state.service]
+                group.rates_until = now + RATE_REPORT_TTL_S
+                state.record_rate_decision(
+                    over_rate, now, self._random.uniform(0.5, 1.5)
+                )
         if success:
             if ran_since is not None:
                 state.record_response_time(now - ran_since, now)
@@ -366,6 +443,9 @@
         crowding = 1.0 + CROWDING_COST_SLOPE * (load - CROWDING_LOAD_RATIO)
         return relative_time * (1.0 + load) * crowding, float("inf")
 
+    def _is_local(self, state: ServerState) -> bool:
+        return state.member.failure_domain == self._failure_domain
+
     def _choose_ejected(
         self, group: ServerGroup, tried: Container[str]
     ) -> ServerState | None:
@@ -408,14 +488,31 @@
         ejected.sort(key=lambda state: -state.ejected_until)
         out = {id(state) for state in ejected[: len(active) // 2]}
         group.selectable = [state for state in active if id(state) not in out]
-        group.local = [
-            state
-            for state in group.selectable
-            if state.member.failure_domain == self._failure_domain
-        ]
+        group.local = [state for state in group.selectable if self._is_local(state)]
         times = [state.ejected_until for state in ejected]
         group.next_return_at = min(times, default=float("inf"))
 
 
+def select_within_rates(
+    states: list[ServerState], tried: Container[str], now: float
+) -> list[ServerState]:
+    """Return the servers to choose from while some of them limit their rates.
+
+    These are the servers that are likely to take a request at once. After a failed
+    attempt, they are those without a limit. If there are none, they are the servers
+    whose rates allow the next request first.
+    """
+    untried = [state for state in states if state.member.node not in tried]
+    if len(untried) < len(states):
+        unlimited = [state for state in untried if not state.is_limited(now)]
+        if unlimited:
+            return unlimited
+    taking = [state for state in untried if state.may_take(now)]
+    if taking or not untried:
+        return taking
+    first_free_at = max(now, min(state.rate_free_at for state in untried))
+    return [state for state in untried if state.rate_free_at <= first_free_at]
+
+
 def state_key(member: Member) -> tuple[str, str]:
     return member.node, member.incarnation
--- a/src/heathermount/values.py
+++ b/src/heathermount/values.py
@@ -95,8 +95,12 @@
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
-    """Running and queued requests of a backend server, and its concurrency limit."""
+    """Running and queued requests of a backend server, and its limits."""
 
     running: int = 0
     queued: int = 0
     limit: int = 1
+    # Requests per second that the server states it takes, 0 without such a limit, and
+    # the seconds that one more request would wait because of it.
+    rate: float = 0.0
+    rate_wait_s: float = 0.0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -185,6 +185,8 @@
     ("value", "load"),
     [
         (b"3,0,8", Load(3, 0, 8)),
+        # Some servers add how long work takes at this moment.
+        (b"3,0,8,130", Load(3, 0, 8)),
         (b"3,0", None),
         (b"a,b,c", None),
         (b"", None),
@@ -196,6 +198,24 @@
     assert PlatformDialect().parse_load(value) == load
 
 
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [
+        (b"17.7", 17.7),
+        (b"3", 3.0),
+        (b"0", 0.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"many", None),
+        (b"", None),
+    ],
+)
+def test_reads_the_limit_of_a_server(value: bytes, rate: float | None) -> None:
+    """Guards against a malformed limit that stops all requests to a server."""
+    assert PlatformDialect().parse_server_limit(value) == rate
+
+
 @pytest.mark.parametrize("text", ["1500", "ms", "1.5h", "-1s", "1e3ms", "٣s"])
 def test_rejects_malformed_durations(text: str) -> None:
     """Guards against a duration that is read in the wrong unit."""
