Send a request on that waited at a server as it named its limit

Cause: a request that was sent before its entry node knew of the limit may wait at the server. Change: whether a refusal for the server's rate is free to go elsewhere depends on the room that other servers have now.

--- a/src/heathermount/gateway/entry_handler.py
+++ b/src/heathermount/gateway/entry_handler.py
@@ -114,7 +114,7 @@
         self._tracker = tracker
         self._quota = quota
         self._retry_budget = retry_budget
-        self._retry_policy = RetryPolicy(retry_budget, clock, metrics)
+        self._retry_policy = RetryPolicy(retry_budget, balancer, clock, metrics)
         self._balancer = balancer
         self._links = links
         self._thresholds = thresholds
--- a/src/heathermount/gateway/retry_policy.py
+++ b/src/heathermount/gateway/retry_policy.py
@@ -8,6 +8,7 @@
 from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.retry_budget import RetryBudget
 from heathermount.gateway.run_context import RunContext
+from heathermount.routing.balancer import Balancer
 from heathermount.values import Outcome, Reason
 
 __all__ = ["MIN_SERVER_ERROR_STATUS", "OutboundCall", "RetryPolicy", "assess_server"]
@@ -79,6 +80,7 @@
     """
 
     __slots__ = (
+        "_balancer",
         "_budget",
         "_clock",
         "_metrics",
@@ -87,9 +89,14 @@
     )
 
     def __init__(
-        self, budget: RetryBudget, clock: Clock, metrics: GatewayMetrics
+        self,
+        budget: RetryBudget,
+        balancer: Balancer,
+        clock: Clock,
+        metrics: GatewayMetrics,
     ) -> None:
         self._budget = budget
+        self._balancer = balancer
         self._clock = clock
         self._metrics = metrics
         # Routes with a run that made nested calls, and with one that made none.
@@ -127,6 +134,9 @@
             return False
         return self._spend_retry(call)
 
+    def _has_room(self, call: OutboundCall) -> bool:
+        return self._balancer.has_room(call.message.service, call.tried_nodes)
+
     def _spend_retry(self, call: OutboundCall) -> bool:
         reserve_ratio = NESTED_CALL_RESERVE_RATIO if call.organisation is None else 0.0
         allowed = self._budget.try_spend(call.message.service, reserve_ratio)
@@ -137,16 +147,16 @@
         """Return whether to send a refused request to another server.
 
         If the request certainly has not run, a retry is free when the failed
-        attempt reached no server. Otherwise it is charged to the retry budget.
+        attempt reached no server. Otherwise it is charged to the retry budget. A
+        request that one server refuses to keep its rate goes to one with room.
         """
         if answer.outcome != Outcome.NOT_RUN:
             if answer.reason == Reason.DEADLINE:
                 return False
             return self.may_retry_executed(call, answer)
         if not answer.sent_to_server:
-            # A server that limits its rate refuses what another one takes at once.
             is_free = answer.reason in FREE_RETRY_REASONS or (
-                answer.limited and not call.message.may_wait
+                answer.limited and self._has_room(call)
             )
             if not is_free or call.free_retries_left < 1:
                 return False
