Remember departures that servers state in their answers

Callers saw: requests to a server that was about to end, where the server named its departure in an answer before its node heard of it otherwise. Cause: as for the stated limit, the header was dropped. Besides, only the node beside the server remembered departures, and a node that starts again while nothing is saved takes the next heartbeat for a new server. Change: the node beside the server treats a stated departure as a reported one, saves it and offers the server to nobody. Its answer names the start of the server, and the node that passes the answer on keeps that start out of routing for good, whatever the node beside the server says later. Registry entries carry the start time of the server for this.

--- a/src/heathermount/gateway/departures.py
+++ b/src/heathermount/gateway/departures.py
@@ -3,8 +3,6 @@
 import asyncio
 from typing import Final
 
-from heathermount.gateway.announcements import Announcement
-
 __all__ = ["Departures"]
 
 # The oldest departures beyond this number are dropped.
@@ -18,29 +16,32 @@
     the server may get requests.
     """
 
-    __slots__ = ("_departed_born_ms", "changed")
+    __slots__ = ("_departed_born_ms", "_max_servers", "changed")
 
-    def __init__(self) -> None:
+    def __init__(self, max_servers: int = MAX_SERVERS) -> None:
+        self._max_servers = max_servers
         # Start time of the latest process that left, by server ID, in milliseconds
         # since the Unix epoch.
         self._departed_born_ms: dict[str, int] = {}
         self.changed = asyncio.Event()
 
-    def add(self, server_id: str, born_ms: int) -> None:
-        """Record that a server's starts up to `born_ms` have left."""
-        if born_ms <= self._departed_born_ms.get(server_id, -1):
-            return
+    def add(self, server_id: str, born_ms: int) -> bool:
+        """Record that a server's starts up to `born_ms` have left.
+
+        Returns whether that is news.
+        """
+        if self.includes(server_id, born_ms):
+            return False
         self._departed_born_ms.pop(server_id, None)
         self._departed_born_ms[server_id] = born_ms
-        while len(self._departed_born_ms) > MAX_SERVERS:
+        while len(self._departed_born_ms) > self._max_servers:
             del self._departed_born_ms[next(iter(self._departed_born_ms))]
         self.changed.set()
+        return True
 
-    def includes(self, announcement: Announcement) -> bool:
-        """Return whether the announced server start has left."""
-        return announcement.born_ms <= self._departed_born_ms.get(
-            announcement.server_id, -1
-        )
+    def includes(self, server_id: str, born_ms: int) -> bool:
+        """Return whether a start of a server has left."""
+        return born_ms <= self._departed_born_ms.get(server_id, -1)
 
     def merge(self, departed_born_ms: dict[str, int]) -> None:
         for server_id, born_ms in departed_born_ms.items():
--- a/src/heathermount/gateway/entry_handler.py
+++ b/src/heathermount/gateway/entry_handler.py
@@ -79,6 +79,7 @@
         "_log",
         "_metrics",
         "_node",
+        "_on_departure",
         "_quota",
         "_random",
         "_retry_budget",
@@ -101,6 +102,7 @@
         thresholds: ThresholdTable,
         execute_request: Callable[[Execute], Awaitable[Answer]],
         find_parent: Callable[[bytes], RunContext | None],
+        on_departure: Callable[[str, int], None],
         clock: Clock,
         random: Random,
         log: DecisionLog,
@@ -121,6 +123,8 @@
         self._execute_request = execute_request
         # Looks up the request running at the local server that made a nested call.
         self._find_parent = find_parent
+        # Called with ID and start time of a server that states that it leaves.
+        self._on_departure = on_departure
         self._fair_cohorts = FairCohortScaler(clock)
         self._clock = clock
         self._random = random
@@ -326,6 +330,8 @@
             member = await self._choose_server(call)
             call.tried_nodes.add(member.node)
             answer = await self._attempt(call, member)
+            if answer.departed_server:
+                self._on_departure(answer.departed_server, answer.departed_born_ms)
             self._thresholds.observe(call.route.name, answer.thresholds)
             if call.parent is not None:
                 call.parent.record_thresholds(answer.thresholds)
--- a/src/heathermount/gateway/lifecycle.py
+++ b/src/heathermount/gateway/lifecycle.py
@@ -94,7 +94,7 @@
         self.announcement = announcement
         self._last_activity_at = self._clock.monotonic()
         is_same_start = known is not None and announcement.has_same_start(known)
-        if self.departures.includes(announcement):
+        if self._has_departed(announcement):
             if not (is_same_start and self.leaving):
                 self._start_leaving(
                     "draining" if announcement.draining else "left-before"
@@ -123,7 +123,7 @@
         announcement = self.announcement
         if announcement is None or self.leaving:
             return False
-        if self.departures.includes(announcement):
+        if self._has_departed(announcement):
             self._start_leaving("left-before")
             return False
         if self.serving:
@@ -147,15 +147,24 @@
         if not self.leaving:
             self._start_leaving("gone")
 
+    def handle_stated_departure(self, announcement: Announcement) -> None:
+        """Handle that a server states in a response that it leaves."""
+        self.departures.add(announcement.server_id, announcement.born_ms)
+        self._start_leaving_if_current(announcement, "stated")
+
     def handle_replacement(self, announcement: Announcement) -> None:
         """Handle that another server uses the address of the announced one."""
+        self._start_leaving_if_current(announcement, "replaced")
+
+    def _has_departed(self, announcement: Announcement) -> bool:
+        return self.departures.includes(announcement.server_id, announcement.born_ms)
+
+    def _start_leaving_if_current(self, announcement: Announcement, cause: str) -> None:
+        """Start to leave if the announcement is of the start that is known."""
         known = self.announcement
-        if (
-            known is not None
-            and known.has_same_start(announcement)
-            and not self.leaving
-        ):
-            self._start_leaving("replaced")
+        is_current = known is not None and known.has_same_start(announcement)
+        if is_current and not self.leaving:
+            self._start_leaving(cause)
 
     def _start_leaving(self, cause: str) -> None:
         known = self.announcement
--- a/src/heathermount/gateway/messages.py
+++ b/src/heathermount/gateway/messages.py
@@ -67,6 +67,9 @@
     nested_call_failed: bool = False
     load: Load | None = None
     thresholds: list[ServiceThreshold] = []
+    # The start of the backend server that stated in its response that it leaves.
+    departed_server: str = ""
+    departed_born_ms: int = 0
 
     @property
     def limited(self) -> bool:
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -82,6 +82,9 @@
 
 TOKEN_REQUEST_TIMEOUT_S: Final = 0.25
 
+# A whole fleet can be replaced while a departed server may still seem to serve.
+MAX_STATED_DEPARTURES: Final = 4096
+
 
 class GatewayNode:
     """The node process beside one backend server."""
@@ -102,6 +105,7 @@
         "_retry_budget",
         "_server_offered",
         "_settings",
+        "_stated_departures",
         "_stopping",
         "_store",
         "_thresholds",
@@ -180,6 +184,7 @@
             self._thresholds,
             self.executor.execute,
             self._find_parent_run,
+            self._handle_stated_departure,
             clock,
             random,
             decision_log,
@@ -208,6 +213,9 @@
         )
         self.registry = self._fleet.registry
         self._known_services: set[str] = set()
+        # Servers whose departure this node has passed on in a response. The node
+        # beside such a server may start again without a memory of it.
+        self._stated_departures = Departures(MAX_STATED_DEPARTURES)
         self._stopping = asyncio.Event()
         self._listeners = Listeners(self._current_http_limits, self._stopping.is_set)
         # Whether other nodes may choose the backend server beside this node.
@@ -396,6 +404,7 @@
                 announcement.slots,
                 announcement.cold_start_s,
                 time.time(),
+                announcement.born_ms,
             )
         self._fleet.registration.update_server(server)
 
@@ -405,10 +414,13 @@
         services: dict[str, list[Member]] = {
             service: [] for service in self._known_services
         }
+        departures = self._stated_departures
         for record in nodes.values():
             members = services.setdefault(record.service, [])
-            if record.server is not None:
-                members.append(make_member(record))
+            server = record.server
+            if server is None or departures.includes(server.server_id, server.born_ms):
+                continue
+            members.append(make_member(record))
         self._known_services = set(services)
         for service, members in services.items():
             self._balancer.update(service, members)
@@ -423,6 +435,15 @@
         }
         self._links.close_all_except(addresses)
 
+    def _handle_stated_departure(self, server_id: str, born_ms: int) -> None:
+        """Take a server out of routing that stated in a response that it leaves."""
+        if not self._stated_departures.add(server_id, born_ms):
+            return
+        logging.info(
+            "event=server-departure-stated server=%s born_ms=%d", server_id, born_ms
+        )
+        self._update_membership()
+
     # Graceful stop.
 
     async def _drain(self) -> None:
--- a/src/heathermount/gateway/node_records.py
+++ b/src/heathermount/gateway/node_records.py
@@ -20,6 +20,8 @@
     cold_start_s: float
     # Time of its announcement, in seconds since the Unix epoch.
     joined_at: float
+    # Start time of the server, in milliseconds since the Unix epoch.
+    born_ms: int = 0
 
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -263,7 +263,7 @@
     assert server is not None
     return Member(
         record.node,
-        f"{record.incarnation}/{server.server_id}",
+        f"{record.incarnation}/{server.server_id}/{server.born_ms}",
         record.address,
         record.failure_domain,
         server.slots,
--- a/src/heathermount/gateway/request_executor.py
+++ b/src/heathermount/gateway/request_executor.py
@@ -366,7 +366,7 @@
         self._quarantine.record_completion(message.fingerprint)
         answer, result = self._interpret_response(message, response, announcement)
         if response.status != MISDIRECTED_STATUS:
-            self._apply_statements(response, announcement)
+            self._apply_statements(response, announcement, answer)
         return answer, result
 
     def _record_suspected_crash(
@@ -434,13 +434,23 @@
         )
 
     def _apply_statements(
-        self, response: ServerResponse, announcement: Announcement
+        self, response: ServerResponse, announcement: Announcement, answer: Answer
     ) -> None:
-        """Apply what the server states about itself in any response."""
+        """Apply what the server states about itself in any response.
+
+        The answer tells the entry node of a departure, which has to remember it
+        although this node may end before the departure is saved.
+        """
         known = self.announcement
         if known is None or not known.has_same_start(announcement):
             return
         self._apply_stated_limit(response, announcement)
+        if find_header(response.headers, self._dialect.server_leaving):
+            was_serving = self.serving
+            self._lifecycle.handle_stated_departure(announcement)
+            self._notify_if_changed(was_serving)
+            answer.departed_server = announcement.server_id
+            answer.departed_born_ms = announcement.born_ms
 
     def _apply_stated_limit(
         self, response: ServerResponse, announcement: Announcement
