Take no response that names no request

Callers saw (on systems like this one): "not run, try again" for requests that a server had run or was running. Cause: a response without a request ID was taken for the response to the request that waits. A refusal that a faulty server writes once more, without its ID, was passed on as proof that the new request has not run; it was then sent to another server or by the client again. One that names another request was skipped before as well. Change: a response has to name its request. Without it, the connection is closed and the outcome of the request is unknown. Evidence: REFUSAL_AGAIN_UNNAMED failed before ("not-run" for a request that had run) and passes; REFUSAL_AGAIN passed before.

--- a/src/heathermount/gateway/http_client.py
+++ b/src/heathermount/gateway/http_client.py
@@ -10,7 +10,7 @@
 from absl import logging
 
 from heathermount.framing import MAX_BODY_BYTES
-from heathermount.gateway.http_server import HOP_BY_HOP_HEADERS
+from heathermount.gateway.http_server import HOP_BY_HOP_HEADERS, find_header
 from heathermount.values import Headers
 
 __all__ = [
@@ -157,7 +157,7 @@
             )
 
     def abort_response(self, cause: str) -> None:
-        """Abort a response that is too long and close the connection."""
+        """Abort a response that must not be used and close the connection."""
         # The server is still sending, so it has not crashed.
         self._response_started = True
         self._fail(f"the server's response was aborted: {cause}")
@@ -258,14 +258,19 @@
         if future is None:
             self._close_after_response = True
             return
-        echoed = next((v for n, v in self._headers if n == self._id_header), None)
-        if echoed is not None and echoed != self._expected_id:
-            # A late response to an earlier request; the expected one follows.
-            logging.info("event=answer-mismatched request=%r", self._expected_id)
-            self._close_after_response = True
-            self._response_started = False
-            self._discard_buffer()
-            return
+        if self._expected_id:
+            echoed = find_header(self._headers, self._id_header)
+            if not echoed:
+                # It may answer an earlier request, so that it proves nothing.
+                self.abort_response("it names no request")
+                return
+            if echoed != self._expected_id:
+                # A late response to an earlier request; the expected one follows.
+                logging.info("event=answer-mismatched request=%r", self._expected_id)
+                self._close_after_response = True
+                self._response_started = False
+                self._discard_buffer()
+                return
         self._future = None
         body = bytes(self._body)
         self._discard_buffer()
--- a/src/heathermount/standins/platform_server.py
+++ b/src/heathermount/standins/platform_server.py
@@ -18,10 +18,15 @@
     ERROR = "error"
     # Closes the connection in the middle of the response.
     TRUNCATED = "truncated"
+    # Closes the connection after the first `cut_at` bytes of the response.
+    CUT = "cut"
     # Sends another response, with a different request identifier, after the first.
     EXTRA = "extra"
     # Sends the response to another request before the right one.
     CROSSED = "crossed"
+    # Sends the refusal of another request, which it names or not, before the response.
+    REFUSAL_AGAIN = "refusal-again"
+    REFUSAL_AGAIN_UNNAMED = "refusal-again-unnamed"
     # Sends a response without Content-Length, which ends with the connection.
     UNFRAMED = "unframed"
     # Like UNFRAMED, but resets the connection before the end of the response.
@@ -75,6 +80,7 @@
         self.cancelled = 0
         self.keep_alive = ""
         self.headers: dict[str, str] = {}
+        self.cut_at = 0
 
     def make_heartbeat(
         self, service: str, slots: int, sequence: int, state: str, born_ms: int
@@ -160,10 +166,17 @@
             case Fault.TRUNCATED:
                 writer.write(response[:-3])
                 return False
+            case Fault.CUT:
+                writer.write(response[: self.cut_at])
+                return False
             case Fault.EXTRA:
                 writer.write(response + make_response(200, "another", b"extra"))
             case Fault.CROSSED:
                 writer.write(make_response(200, "another", b"other") + response)
+            case Fault.REFUSAL_AGAIN:
+                writer.write(make_refusal("another") + response)
+            case Fault.REFUSAL_AGAIN_UNNAMED:
+                writer.write(make_refusal("") + response)
             case Fault.UNFRAMED:
                 writer.write(remove_content_length(response))
                 return False
@@ -200,14 +213,21 @@
     status: int, request_id: str, body: bytes, signed: bool = True, extra: str = ""
 ) -> bytes:
     stamp = "X-Heathermount-Response-Stamp: stamp-1\r\n" if signed else ""
+    named = f"X-Heathermount-Request-Id: {request_id}\r\n" if request_id else ""
     head = (
-        f"HTTP/1.1 {status} Status\r\nX-Heathermount-Request-Id: {request_id}\r\n"
+        f"HTTP/1.1 {status} Status\r\n{named}"
         f"{stamp}{extra}X-Heathermount-Server-Load: 1,0,8\r\n"
         f"Content-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
 
 
+def make_refusal(request_id: str) -> bytes:
+    """Return a refusal of a request; it names none if the ID is empty."""
+    not_executed = "X-Heathermount-Not-Executed: 1\r\n"
+    return make_response(503, request_id, b"", False, not_executed)
+
+
 def remove_content_length(response: bytes) -> bytes:
     """Return a response without its Content-Length header."""
     head, _, body = response.partition(b"\r\n\r\n")
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -53,6 +53,8 @@
         (Fault.TRUNCATED, Outcome.UNKNOWN, Reason.ANSWER_BROKEN, True),
         (Fault.GARBAGE, Outcome.UNKNOWN, Reason.SERVER_FAILED, True),
         (Fault.UNSIGNED, Outcome.UNKNOWN, Reason.ANSWER_BROKEN, True),
+        (Fault.REFUSAL_AGAIN, Outcome.RAN, "", True),
+        (Fault.REFUSAL_AGAIN_UNNAMED, Outcome.UNKNOWN, Reason.ANSWER_BROKEN, True),
     ],
 )
 def test_reports_whether_a_request_has_run(
