Test responses that are cut at any byte

Cause: operators report a 200 with an empty or short body after a server had stopped within the head of its response. Change: a test that cuts the response at each of its bytes, after a whole response on the same connection. The test of responses without a length stood before.

--- a/tests/test_gateway_http_client.py
+++ b/tests/test_gateway_http_client.py
@@ -10,7 +10,11 @@
     ServerConnectionPool,
     ServerUnreachable,
 )
-from heathermount.standins.platform_server import Fault, PlatformServerStandIn
+from heathermount.standins.platform_server import (
+    Fault,
+    PlatformServerStandIn,
+    make_response,
+)
 
 ID_HEADER = b"x-heathermount-request-id"
 
@@ -83,6 +87,24 @@
     run_async(check)
 
 
+def test_a_response_cut_at_any_byte_is_incomplete() -> None:
+    """Guards against a response that ends in its head and looks complete."""
+
+    async def check() -> None:
+        server, pool = await start_server_and_pool()
+        response = make_response(200, "r-1", b"body")
+        for length in range(len(response)):
+            server.faults = [Fault.NONE, Fault.CUT]
+            server.cut_at = length
+            # The connection has carried a whole response before.
+            await pool.exchange(encode_request("r-0"), b"r-0")
+            with pytest.raises(ResponseIncomplete):
+                await pool.exchange(encode_request("r-1"), b"r-1")
+        server.stop()
+
+    run_async(check)
+
+
 def test_closes_the_connection_of_a_cancelled_request() -> None:
     """Guards against servers that keep working for cancelled callers."""
 
