Refuse requests that a stopping node cannot finish

Callers saw: in a planned stop, requests that came late in the grace period were passed on and cut off with no answer, among them requests that may not be repeated. Cause: half of the grace period ended only the listener. A connection opened before could still send a request until the exit, and each request ran with its whole deadline, up to several seconds past the exit. The closed listener also refused the calls of requests that still ran at the server, so those failed. Change: the phases of a stop are code of their own. After half of the grace period, new requests are refused as not run, at the entry and at the executing node; calls of requests that run here are taken until the exit, and the listener stays open for them. Requests taken before get a deadline that lets the server answer before the exit.

--- a/src/heathermount/gateway/entry_handler.py
+++ b/src/heathermount/gateway/entry_handler.py
@@ -18,6 +18,7 @@
 from heathermount.gateway.configuration_tracker import ConfigurationTracker
 from heathermount.gateway.decision_log import DecisionLog
 from heathermount.gateway.dialect import Dialect
+from heathermount.gateway.graceful_stop import GracefulStop
 from heathermount.gateway.http_server import (
     HOP_BY_HOP_HEADERS,
     HttpRequest,
@@ -75,6 +76,7 @@
         "_execute_request",
         "_fair_cohorts",
         "_find_parent",
+        "_graceful_stop",
         "_links",
         "_log",
         "_metrics",
@@ -103,6 +105,7 @@
         execute_request: Callable[[Execute], Awaitable[Answer]],
         find_parent: Callable[[bytes], RunContext | None],
         on_departure: Callable[[str, int], None],
+        graceful_stop: GracefulStop,
         clock: Clock,
         random: Random,
         log: DecisionLog,
@@ -125,6 +128,7 @@
         self._find_parent = find_parent
         # Called with ID and start time of a server that states that it leaves.
         self._on_departure = on_departure
+        self._graceful_stop = graceful_stop
         self._fair_cohorts = FairCohortScaler(clock)
         self._clock = clock
         self._random = random
@@ -187,6 +191,9 @@
             if name not in self._dropped_headers:
                 headers.append(header)
         headers.append((dialect.caller_service, self._service))
+        parent = self._find_parent(request_id)
+        if parent is None and not self._graceful_stop.takes_requests:
+            raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
         route = self._match_route(policy, host, request.target)
         organisation, digest = self._authenticate(policy, route, keys)
         client_timeout_s = (
@@ -194,10 +201,12 @@
         )
         if client_timeout_s is None:
             client_timeout_s = route.timeout_s
-        deadline = now + min(
-            route.timeout_s, client_timeout_s - CLIENT_DEADLINE_MARGIN_S
+        deadline = self._graceful_stop.limit_deadline(
+            now + min(route.timeout_s, client_timeout_s - CLIENT_DEADLINE_MARGIN_S)
         )
-        parent = self._find_parent(request_id) if organisation is None else None
+        if organisation is not None:
+            # Only calls without a key are charged to the request that made them.
+            parent = None
         if parent is not None:
             # A nested call inherits its parent's admission class, so that both are
             # admitted or shed together.
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -22,6 +22,7 @@
 from heathermount.gateway.dialect import Dialect
 from heathermount.gateway.entry_handler import EntryHandler
 from heathermount.gateway.fleet_view import FleetView
+from heathermount.gateway.graceful_stop import GracefulStop
 from heathermount.gateway.http_server import (
     Handler,
     HttpLimits,
@@ -63,17 +64,6 @@
 # watches may miss for a second.
 FRESHNESS_REVOCATION_RATIO: Final = 0.7
 
-# Parts of the grace period, counted from the start of a graceful stop. A stopping node
-# accepts connections until ACCEPT_GRACE_RATIO, by when its clients have noticed that
-# it is not ready.
-ACCEPT_GRACE_RATIO: Final = 0.5
-# Its peers may choose its backend server until EXECUTE_GRACE_RATIO: the server is
-# healthy, and a rolling restart of a small service needs its capacity. Requests that
-# start at the end of this time have more than half of the grace period left.
-EXECUTE_GRACE_RATIO: Final = 0.3
-# The process exits at EXIT_GRACE_RATIO even if requests are still running.
-EXIT_GRACE_RATIO: Final = 0.92
-
 # Interval at which a stopping node checks for running requests.
 IDLE_POLL_INTERVAL_S: Final = 0.05
 
@@ -96,6 +86,7 @@
         "_dialect",
         "_entry",
         "_fleet",
+        "_graceful_stop",
         "_known_services",
         "_links",
         "_listeners",
@@ -147,6 +138,7 @@
         self._quota = QuotaShares(
             node.name, clock, self._request_tokens, node.first_start
         )
+        self._graceful_stop = GracefulStop(clock)
         departures = Departures()
         self.executor = RequestExecutor(
             node.service,
@@ -161,6 +153,7 @@
             parse_duration(settings.bounds.drain),
             self._quarantine,
             departures,
+            self._graceful_stop,
             self._metrics,
             self._publish_server,
         )
@@ -185,6 +178,7 @@
             self.executor.execute,
             self._find_parent_run,
             self._handle_stated_departure,
+            self._graceful_stop,
             clock,
             random,
             decision_log,
@@ -447,29 +441,32 @@
     # Graceful stop.
 
     async def _drain(self) -> None:
-        """Stop gracefully: withdraw the server, stop accepting, finish requests."""
-        grace_s = parse_duration(self._settings.bounds.grace)
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        clients = self._listeners.clients
-        logging.info("event=node-stopping clients=%d", len(clients))
-        for client in list(clients):
-            client.close_when_idle()
-        await asyncio.sleep(EXECUTE_GRACE_RATIO * grace_s)
+        """Stop gracefully: withdraw the server, refuse requests, finish the others."""
+        stop = self._graceful_stop
+        stop.begin(parse_duration(self._settings.bounds.grace))
+        logging.info("event=node-stopping clients=%d", len(self._listeners.clients))
+        self._close_idle_clients()
+        await asyncio.sleep(stop.time_until_withdrawal_s())
         # Other nodes stop choosing this one but keep their links to it.
         logging.info("event=server-withdrawn cause=stopping")
         self._server_offered = False
         self._publish_server()
-        await asyncio.sleep((ACCEPT_GRACE_RATIO - EXECUTE_GRACE_RATIO) * grace_s)
-        self._listeners.stop_accepting()
-        await self._wait_until_idle(started_at + EXIT_GRACE_RATIO * grace_s)
+        await asyncio.sleep(stop.time_until_refusal_s())
+        # The listener stays open: requests that run at the server still make calls.
+        logging.info("event=requests-refused cause=stopping")
+        self._close_idle_clients()
+        await self._wait_until_idle()
         await self._fleet.registration.deregister()
         self._links.close()
 
-    async def _wait_until_idle(self, deadline: float) -> None:
-        """Wait until no request is running, or until a deadline in event loop time."""
-        loop = asyncio.get_running_loop()
-        while loop.time() < deadline:
+    def _close_idle_clients(self) -> None:
+        """Close client connections now, or after their pending responses."""
+        for client in list(self._listeners.clients):
+            client.close_when_idle()
+
+    async def _wait_until_idle(self) -> None:
+        """Wait until no request is running, or until the process must exit."""
+        while not self._graceful_stop.exit_due:
             busy = any(client.busy for client in self._listeners.clients)
             if not busy and not self.executor.busy:
                 return
--- a/src/heathermount/gateway/request_executor.py
+++ b/src/heathermount/gateway/request_executor.py
@@ -26,6 +26,7 @@
 from heathermount.gateway.decision_log import DecisionLog
 from heathermount.gateway.departures import Departures
 from heathermount.gateway.dialect import Dialect
+from heathermount.gateway.graceful_stop import GracefulStop
 from heathermount.gateway.http_client import (
     ResponseIncomplete,
     ServerConnectionPool,
@@ -74,6 +75,7 @@
         "_dialect",
         "_drain_s",
         "_events",
+        "_graceful_stop",
         "_invariants",
         "_lifecycle",
         "_log",
@@ -107,6 +109,7 @@
         drain_s: float,
         quarantine: Quarantine,
         departures: Departures,
+        graceful_stop: GracefulStop,
         metrics: GatewayMetrics,
         on_serving_changed: Callable[[], None],
     ) -> None:
@@ -122,6 +125,7 @@
         # Time after its departure from which a server must get no more requests.
         self._drain_s = drain_s
         self._quarantine = quarantine
+        self._graceful_stop = graceful_stop
         self._metrics = metrics
         self._on_serving_changed = on_serving_changed
         self._lifecycle = ServerLifecycle(clock, departures, log)
@@ -224,7 +228,9 @@
 
     async def execute(self, message: Execute) -> Answer:
         """Run or refuse a request; the answer carries load and shedding thresholds."""
-        deadline = self._clock.monotonic() + message.deadline_s
+        deadline = self._graceful_stop.limit_deadline(
+            self._clock.monotonic() + message.deadline_s
+        )
         self.active_requests += 1
         try:
             answer = await self._admit_and_run(message, deadline)
@@ -253,7 +259,7 @@
 
     async def _admit_and_run(self, message: Execute, deadline: float) -> Answer:
         lifecycle = self._lifecycle
-        if lifecycle.leaving:
+        if lifecycle.leaving or not self._graceful_stop.takes_requests:
             raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
         admission = self.admission
         usable = lifecycle.serving and not lifecycle.unresponsive
--- a/src/heathermount/soak/gateway.py
+++ b/src/heathermount/soak/gateway.py
@@ -243,7 +243,11 @@
         try:
             async with asyncio.timeout(CLIENT_TIMEOUT_S):
                 status, headers, body = await send_request(
-                    instance.outbound_address, method, target, request_id, key
+                    instance.outbound_address,
+                    method,
+                    target,
+                    request_id=request_id,
+                    key=key,
                 )
         except (OSError, EOFError, TimeoutError):
             # The node was down or paused; the outcome of the request is unknown.
--- a/src/heathermount/standins/platform_client.py
+++ b/src/heathermount/standins/platform_client.py
@@ -1,17 +1,23 @@
 """Simulated client on the platform, which sends requests to a node."""
 
 import asyncio
-from typing import Final
+from typing import Any, Final
 
-__all__ = ["HOST", "KEY", "is_complete_response", "read_response", "send_request"]
+__all__ = [
+    "HOST",
+    "KEY",
+    "encode_request",
+    "is_complete_response",
+    "read_response",
+    "send_request",
+]
 
 # Default host and API key of requests.
 HOST: Final = "shop.example"
 KEY: Final = "key-of-anna"
 
 
-async def send_request(
-    address: str,
+def encode_request(
     method: str,
     target: str,
     request_id: str = "r-1",
@@ -19,10 +25,8 @@
     body: bytes = b"",
     headers: dict[str, str] | None = None,
     host: str = HOST,
-) -> tuple[int, dict[str, str], bytes]:
-    """Send a request on a new connection; return status, headers and body."""
-    name, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(name, int(port))
+) -> bytes:
+    """Return the bytes of a request."""
     lines = [
         f"{method} {target} HTTP/1.1",
         f"Host: {host}",
@@ -32,7 +36,19 @@
     if key:
         lines.append(f"X-Heathermount-Key: {key}")
     lines += [f"{header}: {value}" for header, value in (headers or {}).items()]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def send_request(
+    address: str, method: str, target: str, **fields: Any
+) -> tuple[int, dict[str, str], bytes]:
+    """Send a request on a new connection; return status, headers and body.
+
+    `fields` are those of `encode_request`.
+    """
+    name, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(name, int(port))
+    writer.write(encode_request(method, target, **fields))
     try:
         return await read_response(reader)
     finally:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -23,6 +23,7 @@
 from heathermount.gateway.configuration_tracker import ConfigurationTracker
 from heathermount.gateway.decision_log import DecisionLog
 from heathermount.gateway.departures import Departures
+from heathermount.gateway.graceful_stop import GracefulStop
 from heathermount.gateway.http_server import (
     HttpConnection,
     HttpLimits,
@@ -160,6 +161,7 @@
         drain_s,
         Quarantine(clock),
         Departures(),
+        GracefulStop(clock),
         GatewayMetrics(dict),
         lambda: None,
     )
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -18,9 +18,9 @@
     wait_for,
 )
 from heathermount.framing import MAX_FRAME_BYTES
+from heathermount.gateway.graceful_stop import OFFER_GRACE_RATIO
 from heathermount.gateway.http_server import HttpLimits
 from heathermount.gateway.messages import Execute
-from heathermount.gateway.node import EXECUTE_GRACE_RATIO
 from heathermount.gateway.quota import choose_holders
 from heathermount.standins.platform_client import read_response, send_request
 from heathermount.standins.platform_operator import encode_configuration
@@ -267,7 +267,7 @@
             assert (await nodes[0].request())[0] == 200
             known = nodes[0].node.registry.nodes
             await wait_for(lambda: known["n-1"].server is None)
-            assert time.monotonic() - stopped_at >= EXECUTE_GRACE_RATIO * 4.0
+            assert time.monotonic() - stopped_at >= OFFER_GRACE_RATIO * 4.0
             assert (await nodes[0].request())[0] == 503
             assert not task.done()
             await asyncio.wait([task])
