Keep records of departures when all leases lapse

Callers saw: requests to a server that had left, after an outage of the store with lapsed leases and a kill of the node beside the server. Cause: the record of a departure was under a lease, and an outage may end all leases. A late heartbeat then started the server again. Change: the record has no lease. There is one key per node name, overwritten by the node; it stays when a machine is gone for good.

--- a/src/heathermount/gateway/departure_store.py
+++ b/src/heathermount/gateway/departure_store.py
@@ -17,10 +17,6 @@
 
 DEPARTURES_PREFIX: Final = "departures/"
 
-# Lease of the record in the store. Servers exit, and delayed heartbeats arrive,
-# within seconds of a departure.
-RECORD_TTL_S: Final = 300.0
-
 # Longest delay of a departure's acknowledgement while the record is saved. Servers
 # wait one second for an acknowledgement.
 SAVE_TIMEOUT_S: Final = 0.5
@@ -112,11 +108,10 @@
             self._save_completed.notify_all()
 
     async def _write(self, latest: dict[str, int], revision: int) -> bool:
-        lease_id = await self._store.grant_lease(RECORD_TTL_S)
+        # Without a lease: all leases may lapse in an outage of the store, while late
+        # heartbeats of departed servers still arrive.
         value = msgspec.msgpack.encode(latest)
-        return await self._store.commit(
-            {self._key: revision}, {self._key: value}, lease_id
-        )
+        return await self._store.commit({self._key: revision}, {self._key: value})
 
     def _decode(self, value: bytes) -> dict[str, int]:
         try:
