Split modules of the gateway that had grown, and wait for answers less

Change: preparation of calls, effects of membership, one connection to a server, encoding of requests, the second key check and the stated limit are modules of their own; the code is moved. Only a process that starts beside a running server waits for its first answer. Two gauges show the stated rate and the requests sent.

--- a/src/heathermount/admission/controller.py
+++ b/src/heathermount/admission/controller.py
@@ -133,7 +133,7 @@
         """
         limit = AdaptiveLimit(slots, policy.adaptive_limit, clock.monotonic())
         if rate_limit is None:
-            rate_limit = ServerRateLimit.unlimited()
+            rate_limit = ServerRateLimit()
         return cls(policy, clock, random, limit, rate_limit, events, invariants)
 
     async def admit(self, request: AdmissionRequest) -> Permit:
--- a/src/heathermount/admission/rate_limit.py
+++ b/src/heathermount/admission/rate_limit.py
@@ -12,8 +12,8 @@
 # a server that states zero gets a request now and then.
 MIN_RATE: Final = 0.25
 
-# Requests that run at once before the server's first answer, which may state a limit.
-# A process that has just started cannot know of one that is in force.
+# Requests that run at once while a process that was started beside a running server
+# waits for its first answer. It cannot know of a limit that is in force.
 MAX_UNANSWERED_REQUESTS: Final = 3
 
 # A server that has not answered for this long is not limited any further.
@@ -23,35 +23,29 @@
 class ServerRateLimit:
     """Token bucket that refills at the rate which the backend server states.
 
-    All times are monotonic, in seconds. A limit belongs to one start of a server.
+    All times are monotonic, in seconds. A limit belongs to one start of a server. With
+    `awaits_answer`, a limit may be in force that only the server's next answer tells.
     """
 
-    __slots__ = ("_answered", "_first_sent_at", "_refilled_at", "_tokens", "rate")
+    __slots__ = ("_awaits_answer", "_first_sent_at", "_refilled_at", "_tokens", "rate")
 
-    def __init__(self, answered: bool = False) -> None:
-        # Whether any answer has told if there is a limit.
-        self._answered = answered
+    def __init__(self, awaits_answer: bool = False) -> None:
+        self._awaits_answer = awaits_answer
         self._first_sent_at: float | None = None
         self._tokens = 0.0
         self._refilled_at = 0.0
         # Requests per second; None without a limit.
         self.rate: float | None = None
 
-    @classmethod
-    def unlimited(cls) -> "ServerRateLimit":
-        """Return a limit for servers that never state one."""
-        return cls(answered=True)
-
     def update(self, stated_rate: float | None, now: float) -> bool:
         """Apply what an answer states; return whether more requests may be sent now.
 
         An answer without a rate ends the limit.
         """
-        is_first = not self._answered
-        self._answered = True
+        was_waiting, self._awaits_answer = self._awaits_answer, False
         rate = None if stated_rate is None else max(MIN_RATE, stated_rate)
         if rate == self.rate:
-            return is_first
+            return was_waiting
         self._refill(now)
         if self.rate is None:
             self._tokens = 0.0
@@ -77,7 +71,7 @@
         if self.rate is not None:
             self._refill(now)
             return max(0.0, (queued + 1.0 - self._tokens) / self.rate)
-        if self._answered or running < MAX_UNANSWERED_REQUESTS:
+        if not self._awaits_answer or running < MAX_UNANSWERED_REQUESTS:
             return 0.0
         if self._first_sent_at is None:
             return 0.0
--- a/src/heathermount/gateway/entry_handler.py
+++ b/src/heathermount/gateway/entry_handler.py
@@ -1,26 +1,21 @@
-"""Entry node: authentication, quotas, load shedding and server selection."""
+"""Entry node: quotas, load shedding, server selection and retries of calls."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from hashlib import blake2b
 from random import Random
 from typing import Final
 
-from heathermount.admission import FairCohortScaler, ThresholdTable
+from heathermount.admission import ThresholdTable
 from heathermount.clocks import Clock
 from heathermount.errors import PeerError, PeerLost, PeerUnreachable, Refusal
+from heathermount.gateway.call_preparation import CallPreparer
 from heathermount.gateway.configuration_document import (
-    GatewayPolicy,
     OrganisationEntry,
-    RouteEntry,
-    choose_target,
 )
 from heathermount.gateway.configuration_tracker import ConfigurationTracker
 from heathermount.gateway.decision_log import DecisionLog
 from heathermount.gateway.dialect import Dialect
-from heathermount.gateway.graceful_stop import GracefulStop
 from heathermount.gateway.http_server import (
-    HOP_BY_HOP_HEADERS,
     HttpRequest,
     HttpResponse,
     find_header,
@@ -45,17 +40,12 @@
     RetryPolicy,
     assess_server,
 )
-from heathermount.gateway.run_context import RunContext
 from heathermount.routing.balancer import Balancer, NoServer
 from heathermount.routing.members import Member
-from heathermount.routing.resends import compute_fingerprint
-from heathermount.values import COHORT_COUNT, Outcome, Reason
+from heathermount.values import Outcome, Reason
 
 __all__ = ["EntryHandler"]
 
-# Time reserved for the response to reach the client before its deadline.
-CLIENT_DEADLINE_MARGIN_S: Final = 0.03
-
 # Time reserved for an answer that the executing node sends at its own deadline.
 PEER_TRAVEL_MARGIN_S: Final = 0.03
 
@@ -72,21 +62,17 @@
         "_balancer",
         "_clock",
         "_dialect",
-        "_dropped_headers",
         "_execute_request",
-        "_fair_cohorts",
-        "_find_parent",
-        "_graceful_stop",
         "_links",
         "_log",
         "_metrics",
         "_node",
         "_on_departure",
+        "_preparer",
         "_quota",
         "_random",
         "_retry_budget",
         "_retry_policy",
-        "_service",
         "_thresholds",
         "_tracker",
     )
@@ -94,8 +80,8 @@
     def __init__(
         self,
         node: str,
-        service: str,
         dialect: Dialect,
+        preparer: CallPreparer,
         tracker: ConfigurationTracker,
         quota: QuotaShares,
         retry_budget: RetryBudget,
@@ -103,9 +89,7 @@
         links: LinkTable,
         thresholds: ThresholdTable,
         execute_request: Callable[[Execute], Awaitable[Answer]],
-        find_parent: Callable[[bytes], RunContext | None],
         on_departure: Callable[[str, int], None],
-        graceful_stop: GracefulStop,
         clock: Clock,
         random: Random,
         log: DecisionLog,
@@ -114,8 +98,8 @@
         self._metrics = metrics
         self._log = log
         self._node = node
-        self._service = service.encode()
         self._dialect = dialect
+        self._preparer = preparer
         self._tracker = tracker
         self._quota = quota
         self._retry_budget = retry_budget
@@ -124,26 +108,15 @@
         self._links = links
         self._thresholds = thresholds
         self._execute_request = execute_request
-        # Looks up the request running at the local server that made a nested call.
-        self._find_parent = find_parent
         # Called with ID and start time of a server that states that it leaves.
         self._on_departure = on_departure
-        self._graceful_stop = graceful_stop
-        self._fair_cohorts = FairCohortScaler(clock)
         self._clock = clock
         self._random = random
-        self._dropped_headers = HOP_BY_HOP_HEADERS | {
-            dialect.deadline,
-            dialect.key,
-            dialect.organisation,
-            dialect.caller_service,
-            dialect.expected_server,
-        }
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Dispatch one request and return its response or a refusal."""
         try:
-            call = self._prepare_call(request)
+            call = self._preparer.prepare(request)
             answer = await self._dispatch_and_track(call)
             self._metrics.count("entries", "served")
             return HttpResponse(answer.status, answer.headers, answer.body)
@@ -168,109 +141,6 @@
             age_s=self._tracker.age_s(),
         )
 
-    def _prepare_call(self, request: HttpRequest) -> OutboundCall:
-        """Match, authenticate and convert a request; raise Refusal if it is invalid."""
-        now = self._clock.monotonic()
-        policy = self._tracker.policy
-        if policy is None:
-            raise make_refusal(Reason.STARTING, Outcome.NOT_RUN)
-        dialect = self._dialect
-        host = request_id = deadline_header = b""
-        keys = []
-        headers = []
-        for header in request.headers:
-            name, value = header
-            if name == b"host":
-                host = value
-            elif name == dialect.request_id:
-                request_id = value
-            elif name == dialect.deadline:
-                deadline_header = value
-            elif name == dialect.key:
-                keys.append(value)
-            if name not in self._dropped_headers:
-                headers.append(header)
-        headers.append((dialect.caller_service, self._service))
-        parent = self._find_parent(request_id)
-        if parent is None and not self._graceful_stop.takes_requests:
-            raise make_refusal(Reason.DRAINING, Outcome.NOT_RUN)
-        route = self._match_route(policy, host, request.target)
-        organisation, digest = self._authenticate(policy, route, keys)
-        client_timeout_s = (
-            dialect.parse_deadline(deadline_header) if deadline_header else None
-        )
-        if client_timeout_s is None:
-            client_timeout_s = route.timeout_s
-        deadline = self._graceful_stop.limit_deadline(
-            now + min(route.timeout_s, client_timeout_s - CLIENT_DEADLINE_MARGIN_S)
-        )
-        if organisation is not None:
-            # Only calls without a key are charged to the request that made them.
-            parent = None
-        if parent is not None:
-            # A nested call inherits its parent's admission class, so that both are
-            # admitted or shed together.
-            account = parent.message.organisation or parent.message.account
-            importance = parent.message.importance
-            cohort = parent.message.cohort
-        else:
-            account = organisation.name if organisation is not None else ""
-            importance = policy.classify(route, organisation)
-            cohort = self._fair_cohorts.scale(
-                account, 1, importance, hash_cohort(request_id)
-            )
-        message = Execute(
-            request_id=request_id,
-            service=choose_target(route, self._random),
-            method=request.method,
-            target=request.target,
-            headers=headers,
-            body=request.body,
-            organisation=organisation.name if organisation is not None else "",
-            key_digest=digest,
-            account=account,
-            importance=importance,
-            cohort=cohort,
-            deadline_s=0.0,
-            idempotent=route.idempotent,
-            configuration_version=policy.version,
-            fingerprint=compute_fingerprint(
-                account,
-                request.method.decode(),
-                request.target.decode("latin-1"),
-                request.body,
-            ),
-        )
-        return OutboundCall(route, organisation, message, deadline, parent)
-
-    def _match_route(
-        self, policy: GatewayPolicy, host: bytes, target: bytes
-    ) -> RouteEntry:
-        name = host.decode("latin-1").partition(":")[0].lower()
-        path = target.decode("latin-1").partition("?")[0]
-        route = policy.match_route(name, path)
-        if route is None:
-            if not self._tracker.is_fresh():
-                raise make_refusal(Reason.CONFIGURATION_STALE, Outcome.NOT_RUN)
-            raise make_refusal(Reason.ROUTE_UNKNOWN, Outcome.NOT_RUN)
-        return route
-
-    def _authenticate(
-        self, policy: GatewayPolicy, route: RouteEntry, keys: list[bytes]
-    ) -> tuple[OrganisationEntry | None, bytes]:
-        if route.public or not policy.requires_keys:
-            return None, b""
-        if not self._tracker.is_fresh():
-            raise make_refusal(Reason.CONFIGURATION_STALE, Outcome.NOT_RUN)
-        if len(keys) > 1:
-            raise make_refusal(Reason.MALFORMED, Outcome.NOT_RUN)
-        if not keys:
-            raise make_refusal(Reason.KEY_MISSING, Outcome.NOT_RUN)
-        owner = policy.authenticate(keys[0])
-        if owner is None:
-            raise make_refusal(Reason.KEY_UNKNOWN, Outcome.NOT_RUN)
-        return owner
-
     async def _dispatch_and_track(self, call: OutboundCall) -> Answer:
         """Dispatch a call; record a nested call's result at its parent request."""
         parent = call.parent
@@ -468,8 +338,3 @@
         if not isinstance(answer, Answer):
             raise PeerLost(f"{member.node} replied with an unexpected message type")
         return answer
-
-
-def hash_cohort(request_id: bytes) -> int:
-    """Return a request's shedding cohort, derived from its ID."""
-    return blake2b(request_id, digest_size=1).digest()[0] % COHORT_COUNT
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -14,6 +14,7 @@
 from heathermount.errors import PeerUnreachable
 from heathermount.events import EventLog
 from heathermount.gateway.background import restart_on_error
+from heathermount.gateway.call_preparation import CallPreparer
 from heathermount.gateway.configuration_tracker import ConfigurationTracker
 from heathermount.gateway.configuration_updater import ConfigurationReader
 from heathermount.gateway.decision_log import DecisionLog
@@ -31,6 +32,7 @@
 )
 from heathermount.gateway.links import LinkTable
 from heathermount.gateway.listeners import Listeners
+from heathermount.gateway.membership import MembershipUpdater
 from heathermount.gateway.messages import (
     Execute,
     Message,
@@ -42,14 +44,12 @@
 from heathermount.gateway.metrics import GatewayMetrics
 from heathermount.gateway.node_records import NodeRecord, ServerRecord
 from heathermount.gateway.quota import QuotaShares
-from heathermount.gateway.registry import make_member
 from heathermount.gateway.request_executor import RequestExecutor
 from heathermount.gateway.retry_budget import RetryBudget
 from heathermount.gateway.run_context import RunContext
 from heathermount.gateway.settings import GatewaySettings
 from heathermount.invariants import Invariants
 from heathermount.routing.balancer import Balancer
-from heathermount.routing.members import Member
 from heathermount.routing.quarantine import Quarantine
 from heathermount.store.interface import WatchedStore
 
@@ -72,9 +72,6 @@
 
 TOKEN_REQUEST_TIMEOUT_S: Final = 0.25
 
-# A whole fleet can be replaced while a departed server may still seem to serve.
-MAX_STATED_DEPARTURES: Final = 4096
-
 
 class GatewayNode:
     """The node process beside one backend server."""
@@ -87,16 +84,15 @@
         "_entry",
         "_fleet",
         "_graceful_stop",
-        "_known_services",
         "_links",
         "_listeners",
+        "_membership",
         "_metrics",
         "_quarantine",
         "_quota",
         "_retry_budget",
         "_server_offered",
         "_settings",
-        "_stated_departures",
         "_stopping",
         "_store",
         "_thresholds",
@@ -138,6 +134,14 @@
         self._quota = QuotaShares(
             node.name, clock, self._request_tokens, node.first_start
         )
+        self._membership = MembershipUpdater(
+            node.name,
+            lambda: self.registry.nodes,
+            self._balancer,
+            self._quota,
+            self._retry_budget,
+            self._links,
+        )
         self._graceful_stop = GracefulStop(clock)
         departures = Departures()
         self.executor = RequestExecutor(
@@ -154,6 +158,7 @@
             self._quarantine,
             departures,
             self._graceful_stop,
+            node.first_start,
             self._metrics,
             self._publish_server,
         )
@@ -167,8 +172,16 @@
         )
         self._entry = EntryHandler(
             node.name,
-            node.service,
             dialect,
+            CallPreparer(
+                node.service,
+                dialect,
+                self._tracker,
+                self._find_parent_run,
+                self._graceful_stop,
+                clock,
+                random,
+            ),
             self._tracker,
             self._quota,
             self._retry_budget,
@@ -176,9 +189,7 @@
             self._links,
             self._thresholds,
             self.executor.execute,
-            self._find_parent_run,
-            self._handle_stated_departure,
-            self._graceful_stop,
+            self._membership.handle_stated_departure,
             clock,
             random,
             decision_log,
@@ -200,16 +211,12 @@
             self._quarantine,
             self._links,
             lambda other: not self._links.suspected(other.address),
-            self._update_membership,
+            self._membership.update,
             settings.store.first_read_delay_s if node.first_start else 0.0,
             clock,
             random,
         )
         self.registry = self._fleet.registry
-        self._known_services: set[str] = set()
-        # Servers whose departure this node has passed on in a response. The node
-        # beside such a server may start again without a memory of it.
-        self._stated_departures = Departures(MAX_STATED_DEPARTURES)
         self._stopping = asyncio.Event()
         self._listeners = Listeners(self._current_http_limits, self._stopping.is_set)
         # Whether other nodes may choose the backend server beside this node.
@@ -310,6 +317,8 @@
             gauges["server_running"] = float(load.running)
             gauges["server_queued"] = float(load.queued)
             gauges["server_limit"] = float(load.limit)
+            gauges["server_rate_limit"] = load.rate
+            gauges["server_requests_sent"] = float(self.executor.requests_sent)
         for call, count in self._store.calls.items():
             gauges[f"store_calls_{call.replace('-', '_')}"] = float(count)
         return gauges
@@ -402,42 +411,6 @@
             )
         self._fleet.registration.update_server(server)
 
-    def _update_membership(self) -> None:
-        """Pass the known nodes on to routing, quota, retry budget and links."""
-        nodes = self.registry.nodes
-        services: dict[str, list[Member]] = {
-            service: [] for service in self._known_services
-        }
-        departures = self._stated_departures
-        for record in nodes.values():
-            members = services.setdefault(record.service, [])
-            server = record.server
-            if server is None or departures.includes(server.server_id, server.born_ms):
-                continue
-            members.append(make_member(record))
-        self._known_services = set(services)
-        for service, members in services.items():
-            self._balancer.update(service, members)
-        # A node without a server often leaves soon. It passes its shares on while it
-        # still runs, unless no node has a server.
-        holders = [record.node for record in nodes.values() if record.server]
-        self._quota.update_nodes(holders or list(nodes))
-        self._retry_budget.node_count = len(nodes)
-        own_name = self._settings.node.name
-        addresses = {
-            other.address for other in nodes.values() if other.node != own_name
-        }
-        self._links.close_all_except(addresses)
-
-    def _handle_stated_departure(self, server_id: str, born_ms: int) -> None:
-        """Take a server out of routing that stated in a response that it leaves."""
-        if not self._stated_departures.add(server_id, born_ms):
-            return
-        logging.info(
-            "event=server-departure-stated server=%s born_ms=%d", server_id, born_ms
-        )
-        self._update_membership()
-
     # Graceful stop.
 
     async def _drain(self) -> None:
--- a/src/heathermount/gateway/refusals.py
+++ b/src/heathermount/gateway/refusals.py
@@ -8,6 +8,7 @@
 from heathermount.values import Outcome, Reason
 
 __all__ = [
+    "incomplete_response_to_answer",
     "refusal_to_answer",
     "make_refusal",
     "answer_to_refusal",
@@ -69,6 +70,17 @@
     )
 
 
+def incomplete_response_to_answer(response_started: bool) -> Answer:
+    """Return the answer for a sent request without a complete response.
+
+    The server may have crashed if its response had not started.
+    """
+    reason = Reason.ANSWER_BROKEN if response_started else Reason.SERVER_FAILED
+    answer = refusal_to_answer(make_refusal(reason, Outcome.UNKNOWN), sent=True)
+    answer.server_crashed = not response_started
+    return answer
+
+
 def answer_to_refusal(answer: Answer) -> Refusal:
     """Convert a peer's answer back to the refusal that it carries."""
     return make_refusal(
--- a/src/heathermount/gateway/request_executor.py
+++ b/src/heathermount/gateway/request_executor.py
@@ -14,7 +14,6 @@
     Draining,
     Permit,
     RunResult,
-    ServerRateLimit,
     Shed,
 )
 from heathermount.clocks import Clock
@@ -34,11 +33,18 @@
     ServerUnreachable,
 )
 from heathermount.gateway.http_server import find_header
+from heathermount.gateway.key_checks import recheck_key
 from heathermount.gateway.lifecycle import ServerLifecycle
 from heathermount.gateway.messages import Answer, Execute
 from heathermount.gateway.metrics import GatewayMetrics
-from heathermount.gateway.refusals import make_refusal, refusal_to_answer
+from heathermount.gateway.refusals import (
+    incomplete_response_to_answer,
+    make_refusal,
+    refusal_to_answer,
+)
 from heathermount.gateway.run_context import RunContext, run_shielded
+from heathermount.gateway.server_requests import encode_request
+from heathermount.gateway.stated_limit import StatedLimit
 from heathermount.invariants import Invariants
 from heathermount.routing.quarantine import Quarantine
 from heathermount.values import Load, Outcome, Reason, ServiceThreshold
@@ -64,8 +70,6 @@
 # has not run the request.
 MISDIRECTED_STATUS: Final = 421
 
-BODY_METHODS: Final = frozenset({b"POST", b"PUT", b"PATCH"})
-
 
 class RequestExecutor:
     """Admits requests and runs them at the local backend server, or refuses them."""
@@ -75,6 +79,7 @@
         "_dialect",
         "_drain_s",
         "_events",
+        "_first_start",
         "_graceful_stop",
         "_invariants",
         "_lifecycle",
@@ -84,11 +89,9 @@
         "_pool",
         "_quarantine",
         "_random",
-        "_rate_limit",
-        "_requests_sent",
         "_service",
         "_settings",
-        "_stated_rate",
+        "_stated_limit",
         "_tracker",
         "active_requests",
         "admission",
@@ -110,6 +113,7 @@
         quarantine: Quarantine,
         departures: Departures,
         graceful_stop: GracefulStop,
+        first_start: bool,
         metrics: GatewayMetrics,
         on_serving_changed: Callable[[], None],
     ) -> None:
@@ -126,13 +130,12 @@
         self._drain_s = drain_s
         self._quarantine = quarantine
         self._graceful_stop = graceful_stop
+        # Whether the whole fleet starts for the first time.
+        self._first_start = first_start
         self._metrics = metrics
         self._on_serving_changed = on_serving_changed
         self._lifecycle = ServerLifecycle(clock, departures, log)
-        # Limit that the server states, and the rate in its latest response.
-        self._rate_limit = ServerRateLimit()
-        self._stated_rate: float | None = None
-        self._requests_sent = 0
+        self._stated_limit = StatedLimit(dialect, log)
         self._pool: ServerConnectionPool | None = None
         self.admission: AdmissionController | None = None
         # Requests queued or running here whose callers are still waiting.
@@ -161,9 +164,9 @@
         starts_serving = self._lifecycle.handle_heartbeat(announcement)
         current = self.announcement
         if known is None or current is None or not current.has_same_start(known):
-            # A limit belongs to one start of a server.
-            self._rate_limit = ServerRateLimit()
-            self._stated_rate = None
+            # An earlier process beside this server may have known of a limit.
+            awaits_answer = known is None and not self._first_start
+            self._stated_limit = StatedLimit(self._dialect, self._log, awaits_answer)
         if starts_serving:
             self._start_serving(announcement)
         else:
@@ -203,7 +206,7 @@
             announcement.usable_slots,
             self._events,
             self._invariants,
-            self._rate_limit,
+            self._stated_limit.rate_limit,
         )
         logging.info(
             "event=server-announced server=%s born_ms=%d sequence=%d slots=%d "
@@ -223,6 +226,11 @@
         slots = self.announcement.slots if self.announcement is not None else 1
         return max(slots, limit - RESERVED_CONNECTIONS)
 
+    @property
+    def requests_sent(self) -> int:
+        """Number of requests sent to the current start of the backend server."""
+        return self._stated_limit.requests_sent
+
     def load(self) -> Load | None:
         return self.admission.load() if self.admission is not None else None
 
@@ -320,19 +328,7 @@
             )
         if self._quarantine.is_blocked(message.fingerprint):
             raise make_refusal(Reason.QUARANTINED, Outcome.NOT_RUN)
-        if not message.key_digest:
-            return
-        tracker = self._tracker
-        policy = tracker.policy
-        if policy is None or not tracker.is_fresh():
-            raise make_refusal(Reason.CONFIGURATION_STALE, Outcome.NOT_RUN)
-        # The entry node may have a newer configuration than this node. That one was
-        # written after this node last confirmed its own, so its authentication is
-        # recent enough.
-        if message.configuration_version > policy.version:
-            return
-        if policy.find_key_owner(message.key_digest) != message.organisation:
-            raise make_refusal(Reason.KEY_WITHDRAWN, Outcome.NOT_RUN)
+        recheck_key(self._tracker, message)
 
     async def _run(self, message: Execute, deadline: float) -> tuple[Answer, RunResult]:
         pool, announcement = self._pool, self.announcement
@@ -348,8 +344,10 @@
             if time_left_s <= 0.0:
                 raise make_refusal(Reason.DEADLINE, Outcome.NOT_RUN)
             sent = True
-            self._requests_sent += 1
-            return self._encode_request(message, announcement.server_id, time_left_s)
+            self._stated_limit.requests_sent += 1
+            return encode_request(
+                self._dialect, message, announcement.server_id, time_left_s
+            )
 
         try:
             async with asyncio.timeout(remaining_s + RESPONSE_GRACE_S):
@@ -367,7 +365,14 @@
         except ResponseIncomplete as error:
             if not error.response_started and not await pool.probe():
                 self._record_suspected_crash(message, announcement)
-            return self._handle_incomplete_response(message, error)
+            self._log.record(
+                "answer-broken",
+                request=message.request_id.decode("latin-1"),
+                answering=error.response_started,
+                error=str(error),
+            )
+            answer = incomplete_response_to_answer(error.response_started)
+            return answer, RunResult.CRASHED
         self._lifecycle.record_activity()
         self._quarantine.record_completion(message.fingerprint)
         answer, result = self._interpret_response(message, response, announcement)
@@ -388,22 +393,6 @@
             suspicions=suspicions,
         )
 
-    def _handle_incomplete_response(
-        self, message: Execute, error: ResponseIncomplete
-    ) -> tuple[Answer, RunResult]:
-        self._log.record(
-            "answer-broken",
-            request=message.request_id.decode("latin-1"),
-            answering=error.response_started,
-            error=str(error),
-        )
-        reason = (
-            Reason.ANSWER_BROKEN if error.response_started else Reason.SERVER_FAILED
-        )
-        answer = refusal_to_answer(make_refusal(reason, Outcome.UNKNOWN), sent=True)
-        answer.server_crashed = not error.response_started
-        return answer, RunResult.CRASHED
-
     def _interpret_response(
         self, message: Execute, response: ServerResponse, announcement: Announcement
     ) -> tuple[Answer, RunResult]:
@@ -450,7 +439,8 @@
         known = self.announcement
         if known is None or not known.has_same_start(announcement):
             return
-        self._apply_stated_limit(response, announcement)
+        assert self.admission is not None
+        self._stated_limit.apply(response.headers, announcement, self.admission)
         if find_header(response.headers, self._dialect.server_leaving):
             was_serving = self.serving
             self._lifecycle.handle_stated_departure(announcement)
@@ -458,34 +448,6 @@
             answer.departed_server = announcement.server_id
             answer.departed_born_ms = announcement.born_ms
 
-    def _apply_stated_limit(
-        self, response: ServerResponse, announcement: Announcement
-    ) -> None:
-        """Keep the request rate that the server states it takes, and log changes."""
-        dialect = self._dialect
-        value = find_header(response.headers, dialect.server_limit)
-        rate = dialect.parse_server_limit(value) if value else None
-        if value and rate is None:
-            self._log.record(
-                "server-limit-malformed",
-                server=announcement.server_id,
-                value=value.decode("latin-1"),
-            )
-            return
-        if self.admission is not None:
-            self.admission.update_rate_limit(rate)
-        if rate == self._stated_rate:
-            return
-        # The count of requests sent shows the rate between two changes.
-        self._log.record(
-            "server-limit-changed",
-            server=announcement.server_id,
-            rate=rate if rate is not None else "none",
-            former=self._stated_rate if self._stated_rate is not None else "none",
-            sent=self._requests_sent,
-        )
-        self._stated_rate = rate
-
     def _classify_server_shed(self) -> RunResult:
         """Return whether a request shed by the server counts as overload or failure.
 
@@ -497,28 +459,3 @@
         if admission.load().running >= SERVER_OVERLOAD_SLOT_RATIO * announcement.slots:
             return RunResult.SHED_BY_SERVER
         return RunResult.FAILED
-
-    def _encode_request(
-        self, message: Execute, server_id: str, remaining_s: float
-    ) -> bytes:
-        dialect = self._dialect
-        parts = [b"%b %b HTTP/1.1\r\n" % (message.method, message.target)]
-        parts += [b"%b: %b\r\n" % header for header in message.headers]
-        parts.append(
-            b"%b: %b\r\n%b: %b\r\n"
-            % (
-                dialect.deadline,
-                dialect.format_deadline(remaining_s),
-                dialect.expected_server,
-                server_id.encode(),
-            )
-        )
-        if message.organisation:
-            parts.append(
-                b"%b: %b\r\n" % (dialect.organisation, message.organisation.encode())
-            )
-        if message.body or message.method in BODY_METHODS:
-            parts.append(b"content-length: %d\r\n" % len(message.body))
-        parts.append(b"\r\n")
-        parts.append(message.body)
-        return b"".join(parts)
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -162,6 +162,7 @@
         Quarantine(clock),
         Departures(),
         GracefulStop(clock),
+        True,
         GatewayMetrics(dict),
         lambda: None,
     )
