Let servers of the gateway soak state limits of their rate

Cause: the soak had no server in need, so it could not meet the fault. Change: a fault in which a server states a limit for 5 to 12 s, beside all others, and a check of each window of 4 s. Its test: a limit that is broken, kept, and not yet binding.

--- a/src/heathermount/soak/gateway.py
+++ b/src/heathermount/soak/gateway.py
@@ -287,6 +287,7 @@
                 for instance in self.instances
                 for drain in instance.acknowledged_drains
             ],
+            [limit for instance in self.instances for limit in instance.stated_limits],
             ROUTE_TIMEOUT_S + RESPONSE_MARGIN_S,
         )
         for instance in self.instances:
--- a/src/heathermount/soak/gateway_checks.py
+++ b/src/heathermount/soak/gateway_checks.py
@@ -3,6 +3,7 @@
 A check reports only violations that the records prove.
 """
 
+from bisect import bisect
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
@@ -11,9 +12,14 @@
 
 from heathermount.config.durations import parse_duration
 from heathermount.soak.checks import Violation
-from heathermount.soak.instances import DRAIN_BOUND, REVOCATION_BOUND, RequestRun
+from heathermount.soak.instances import (
+    DRAIN_BOUND,
+    REVOCATION_BOUND,
+    RequestRun,
+    StatedLimit,
+)
 
-__all__ = ["ClientResult", "check_gateway_run"]
+__all__ = ["ClientResult", "check_gateway_run", "find_runs_over_limit"]
 
 # Statuses that guarantee that a request was not executed and never will be.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
@@ -21,6 +27,14 @@
 DENIAL_STATUSES: Final = frozenset({400, 401, 403, 404})
 
 
+# A server that states a limit for longer than the first time gets in each window at
+# most this many times what the limit allows, and a few requests more.
+LIMIT_GRACE_S: Final = 3.0
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_RATIO: Final = 1.5
+LIMIT_EXTRA_REQUESTS: Final = 5
+
+
 class ClientResult(msgspec.Struct, kw_only=True):
     """One request of a client; times are monotonic, in seconds."""
 
@@ -45,6 +59,7 @@
     runs: Iterable[RequestRun],
     withdrawn_keys: Mapping[str, float],
     drains: Iterable[tuple[str, float]],
+    stated_limits: Iterable[StatedLimit],
     timeout_s: float,
 ) -> list[Violation]:
     """Return all violations of the guarantees to clients and servers."""
@@ -57,6 +72,7 @@
         violations += check_request(result, request_runs, withdrawn_keys, timeout_s)
     violations += find_runs_without_request(results, runs_by_request)
     violations += find_runs_after_drain(runs_by_request, drains)
+    violations += find_runs_over_limit(runs_by_request, stated_limits)
     return violations
 
 
@@ -117,3 +133,34 @@
         Violation("late-at-leaving-server", server, f"requests={count}")
         for server, count in late_runs.items()
     ]
+
+
+def find_runs_over_limit(
+    runs_by_request: Mapping[str, list[RequestRun]],
+    stated_limits: Iterable[StatedLimit],
+) -> list[Violation]:
+    """Return windows in which a server got more than the limit that it stated."""
+    times_by_server: dict[str, list[float]] = defaultdict(list)
+    for runs in runs_by_request.values():
+        for run in runs:
+            times_by_server[run.server_id].append(run.started_at)
+    violations = []
+    for limit in stated_limits:
+        allowed = LIMIT_RATIO * limit.rate * LIMIT_WINDOW_S + LIMIT_EXTRA_REQUESTS
+        bound_from = limit.started_at + LIMIT_GRACE_S
+        times = sorted(
+            one
+            for one in times_by_server[limit.server_id]
+            if bound_from <= one <= limit.ended_at
+        )
+        most = max(
+            (
+                bisect(times, start + LIMIT_WINDOW_S) - i
+                for i, start in enumerate(times)
+            ),
+            default=0,
+        )
+        if most > allowed:
+            detail = f"rate={limit.rate} requests={most} allowed={allowed:.0f}"
+            violations.append(Violation("over-stated-limit", limit.server_id, detail))
+    return violations
--- a/src/heathermount/soak/gateway_faults.py
+++ b/src/heathermount/soak/gateway_faults.py
@@ -32,6 +32,11 @@
 # Versions of configurations are not consecutive.
 VERSION_STEP: Final = 3
 
+# Requests per second that a server in need takes, and bounds of how long it says so.
+STATED_RATES: Final = [0.5, 2.0, 6.5, 15.0]
+MIN_LIMIT_DURATION_S: Final = 5.0
+MAX_LIMIT_DURATION_S: Final = 12.0
+
 # Number of requests to which a faulty server responds wrongly.
 FAULTY_RESPONSES: Final = 15
 
@@ -182,6 +187,13 @@
         await instance.start_server()
 
 
+async def limit_server(state: GatewaySoakState, random: Random) -> None:
+    """Let a backend server state a limit of its rate in its answers."""
+    duration_s = random.uniform(MIN_LIMIT_DURATION_S, MAX_LIMIT_DURATION_S)
+    instance = pick_instance(state, random)
+    await instance.limit_server(random.choice(STATED_RATES), duration_s)
+
+
 async def spoil_answers(state: GatewaySoakState, random: Random) -> None:
     """Let a backend server respond wrongly to its next requests."""
     server = pick_instance(state, random).server
@@ -231,6 +243,7 @@
         lapse_leases,
         crash_server,
         drain_server,
+        limit_server,
         spoil_answers,
         withdraw_key,
         change_configuration,
--- a/src/heathermount/soak/instances.py
+++ b/src/heathermount/soak/instances.py
@@ -17,7 +17,14 @@
 from heathermount.standins.platform_server import PlatformServerStandIn, ServedRequest
 from heathermount.standins.platform_store import PlatformStoreStandIn
 
-__all__ = ["DRAIN_BOUND", "GRACE_BOUND", "REVOCATION_BOUND", "Instance", "RequestRun"]
+__all__ = [
+    "DRAIN_BOUND",
+    "GRACE_BOUND",
+    "REVOCATION_BOUND",
+    "Instance",
+    "RequestRun",
+    "StatedLimit",
+]
 
 # Time bounds in the settings of the nodes, equal to those of the users' sites.
 DRAIN_BOUND: Final = "2s"
@@ -29,6 +36,8 @@
     Path(heathermount.__file__).resolve().parents[2] / "deploy" / "heathermount_node.py"
 )
 
+LIMIT_HEADER: Final = "Server-Limit"
+
 HEARTBEAT_PERIOD_S: Final = 1.0
 
 # Longest delay of a stale heartbeat, and how long a draining server keeps serving
@@ -66,6 +75,20 @@
         self.started_at = started_at
 
 
+class StatedLimit:
+    """A time in which a backend server stated a limit of its rate."""
+
+    __slots__ = ("ended_at", "rate", "server_id", "started_at")
+
+    def __init__(
+        self, server_id: str, rate: float, started_at: float, ended_at: float
+    ) -> None:
+        self.server_id = server_id
+        self.rate = rate
+        self.started_at = started_at
+        self.ended_at = ended_at
+
+
 class Instance:
     """A node process with its backend server; each can be stopped and restarted."""
 
@@ -83,6 +106,7 @@
         self.runs: list[RequestRun] = []
         # Server identifiers with the time at which the node acknowledged the drain.
         self.acknowledged_drains: list[tuple[str, float]] = []
+        self.stated_limits: list[StatedLimit] = []
         # When the node was last started, stopped, paused or resumed.
         self.last_disturbed_at = time.monotonic()
         self.problems: list[str] = []
@@ -283,6 +307,19 @@
         if self.server is server:
             self.crash_server()
 
+    async def limit_server(self, rate: float, duration_s: float) -> None:
+        """Let the server state a limit, in requests per second, for some time."""
+        server = self.server
+        if server is None or LIMIT_HEADER in server.headers:
+            return
+        server.headers[LIMIT_HEADER] = str(rate)
+        started_at = time.monotonic()
+        await asyncio.sleep(duration_s)
+        self.stated_limits.append(
+            StatedLimit(server.server_id, rate, started_at, time.monotonic())
+        )
+        del server.headers[LIMIT_HEADER]
+
     async def _send_heartbeats(self, server: PlatformServerStandIn) -> None:
         self._heartbeat_sequence = 0
         while True:
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -10,8 +10,12 @@
 
 from builders_gateway import run_async, wait_for
 from heathermount.soak.gateway import GatewaySoakSettings, run_gateway_soak
-from heathermount.soak.gateway_checks import ClientResult, check_gateway_run
-from heathermount.soak.instances import Instance, RequestRun
+from heathermount.soak.gateway_checks import (
+    ClientResult,
+    check_gateway_run,
+    find_runs_over_limit,
+)
+from heathermount.soak.instances import Instance, RequestRun, StatedLimit
 from heathermount.soak.proxy import LoopbackProxy, NetworkFault
 from heathermount.standins.platform_store import PlatformStoreStandIn
 
@@ -53,7 +57,7 @@
     """Guards against a soak that misses violations or reports correct behaviour."""
     request_runs = [RequestRun("r-1", "o-1", "i-1", 10.05) for _ in range(runs)]
     found = check_gateway_run(
-        [make_result(**fields)], request_runs, {"k-old": 2.0}, [], 3.5
+        [make_result(**fields)], request_runs, {"k-old": 2.0}, [], [], 3.5
     )
     assert [violation.check for violation in found] == ([check] if check else [])
 
@@ -64,13 +68,32 @@
         RequestRun("r-1", "o-1", "i-1", 10.05),
         RequestRun("r-2", "o-1", "i-2", 10.0),
     ]
-    found = check_gateway_run([make_result()], request_runs, {}, [("i-1", 8.0)], 3.5)
+    found = check_gateway_run(
+        [make_result()], request_runs, {}, [("i-1", 8.0)], [], 3.5
+    )
     assert {(violation.check, violation.subject) for violation in found} == {
         ("unasked", "r-2"),
         ("late-at-leaving-server", "i-1"),
     }
 
 
+@pytest.mark.parametrize(
+    ("rate", "started_at", "violations"),
+    [(1.0, 0.0, ["over-stated-limit"]), (2.5, 0.0, []), (1.0, 8.0, [])],
+    ids=["over", "within", "before the limit binds"],
+)
+def test_finds_runs_over_a_stated_limit(
+    rate: float, started_at: float, violations: list[str]
+) -> None:
+    """Guards against a soak that misses servers that get more than they state."""
+    runs = {
+        str(i): [RequestRun(str(i), "o-1", "i-1", 10.0 + i / 10)] for i in range(20)
+    }
+    limits = [StatedLimit("i-1", rate, started_at, 20.0)]
+    found = find_runs_over_limit(runs, limits)
+    assert [violation.check for violation in found] == violations
+
+
 def test_proxy_withholds_bytes_and_resets_connections() -> None:
     """Guards against network faults that the soak counts but does not inject."""
 
