Log the age of the configuration at each change, and overdue confirmations

Change: bounds.propagation in the settings and the template; age_s in configuration-applied; configuration-overdue when a confirmation comes after the bound; two gauges. The simulated nodes of the tests get faults that can be ended.

--- a/src/heathermount/cli/reference.py
+++ b/src/heathermount/cli/reference.py
@@ -410,6 +410,11 @@
                 "",
                 INVALID_DURATION,
             ),
+            "propagation": SettingNote(
+                "time within which a change of the configuration is in force",
+                "",
+                INVALID_DURATION,
+            ),
             "revocation": SettingNote(
                 "time after which a withdrawn key is refused", "", INVALID_DURATION
             ),
--- a/src/heathermount/gateway/configuration_tracker.py
+++ b/src/heathermount/gateway/configuration_tracker.py
@@ -1,5 +1,6 @@
 """The newest configuration that a gateway node knows, and its freshness."""
 
+import math
 from typing import Final
 
 import msgspec
@@ -19,7 +20,8 @@
     `confirmed_at` is the latest time at which the version is known to have been
     the newest. Its clock keeps running while the machine is suspended.
     `freshness_s` is the age of this confirmation up to which the configuration
-    counts as fresh.
+    counts as fresh. `propagation_s` is the time within which a change has to be in
+    force; an older confirmation is overdue.
     """
 
     __slots__ = (
@@ -28,16 +30,24 @@
         "confirmed_at",
         "encoded_document",
         "freshness_s",
+        "longest_age_s",
+        "overdue_confirmations",
         "policy",
+        "propagation_s",
     )
 
-    def __init__(self, clock: Clock, freshness_s: float) -> None:
+    def __init__(self, clock: Clock, freshness_s: float, propagation_s: float) -> None:
         self._clock = clock
         self.freshness_s = freshness_s
+        self.propagation_s = propagation_s
         self.policy: GatewayPolicy | None = None
         self.applied_at = float("-inf")
         self.confirmed_at = float("-inf")
         self.encoded_document = b""
+        # Highest age that a confirmation has ended, and the number of those that
+        # ended an overdue one.
+        self.longest_age_s = 0.0
+        self.overdue_confirmations = 0
 
     @property
     def version(self) -> int:
@@ -56,11 +66,13 @@
         if document.version <= self.version:
             return False
         logging.info(
-            "event=configuration-applied version=%d previous=%d source=%s routes=%d",
+            "event=configuration-applied version=%d previous=%d source=%s routes=%d "
+            "age_s=%.2f",
             document.version,
             self.version,
             source,
             len(document.routes),
+            self.age_s(),
         )
         self.policy = GatewayPolicy.from_config(document)
         self.applied_at = self._clock.monotonic()
@@ -69,7 +81,26 @@
 
     def confirm(self, confirmed_at: float) -> None:
         """Record that the version was the newest at `confirmed_at`."""
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if confirmed_at <= self.confirmed_at:
+            return
+        if self.policy is not None and math.isfinite(self.confirmed_at):
+            self._record_age(self.age_s())
+        self.confirmed_at = confirmed_at
+
+    def _record_age(self, age_s: float) -> None:
+        """Record the age of a confirmation that is replaced by a newer one."""
+        self.longest_age_s = max(self.longest_age_s, age_s)
+        if age_s <= self.propagation_s:
+            return
+        self.overdue_confirmations += 1
+        logging.warning(
+            "event=configuration-overdue age_s=%.2f bound_s=%.2f version=%d "
+            "applied_s=%.2f",
+            age_s,
+            self.propagation_s,
+            self.version,
+            self._clock.monotonic() - self.applied_at,
+        )
 
     def update_from_peer(
         self, version: int, age_s: float, sent_at: float, encoded_document: bytes
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -120,9 +120,11 @@
         self._store = store
         self._metrics = GatewayMetrics(self._read_gauges)
         events = EventLog(node.name, clock)
-        revocation_s = parse_duration(settings.bounds.revocation)
+        bounds = settings.bounds
         self._tracker = ConfigurationTracker(
-            clock, FRESHNESS_REVOCATION_RATIO * revocation_s
+            clock,
+            FRESHNESS_REVOCATION_RATIO * parse_duration(bounds.revocation),
+            parse_duration(bounds.propagation),
         )
         self._balancer = Balancer(clock, random, node.failure_domain)
         self._retry_budget = RetryBudget(settings.retry_limits, clock)
@@ -241,10 +243,11 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply the bounds of changed settings; other changes need a restart."""
         logging.info("event=settings-reloaded")
-        self._settings.bounds = settings.bounds
+        bounds = self._settings.bounds = settings.bounds
         self._tracker.freshness_s = FRESHNESS_REVOCATION_RATIO * parse_duration(
-            settings.bounds.revocation
+            bounds.revocation
         )
+        self._tracker.propagation_s = parse_duration(bounds.propagation)
         self._retry_budget.limits = settings.retry_limits
 
     def close(self) -> None:
@@ -302,6 +305,8 @@
         gauges = {
             "configuration_version": float(self._tracker.version),
             "configuration_age_seconds": self._tracker.age_s(),
+            "configuration_longest_age_seconds": self._tracker.longest_age_s,
+            "configuration_overdue": float(self._tracker.overdue_confirmations),
             "nodes": float(len(self.registry.nodes)),
             "links": float(self._links.count()),
             "links_usable": float(self._links.count_usable()),
--- a/src/heathermount/gateway/settings.py
+++ b/src/heathermount/gateway/settings.py
@@ -53,6 +53,8 @@
 
     # A backend server that drains or departs gets no new requests after this time.
     drain: str = "2s"
+    # A change of the configuration is in force everywhere after this time.
+    propagation: str = "2s"
     # A revoked key is refused after this time.
     revocation: str = "5s"
     # A stopped process is killed after this time.
@@ -148,7 +150,7 @@
 def check_durations(checker: TableValidator, bounds: BoundSettings | None) -> None:
     if bounds is None:
         return
-    for name in ("drain", "revocation", "grace", "repeat_window"):
+    for name in ("drain", "propagation", "revocation", "grace", "repeat_window"):
         try:
             parse_duration(getattr(bounds, name))
         except ValueError as error:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -51,6 +51,9 @@
 
 KEY = platform_client.KEY.encode()
 
+# Bound of the users' pages for a change of the configuration to be in force.
+PROPAGATION_S = 2.0
+
 
 def run_async(body: Callable[[], Coroutine[Any, Any, None]]) -> None:
     """Run a test body on its own event loop with a timeout of 30 s."""
@@ -117,7 +120,7 @@
 def make_tracker(
     clock: Clock, document: GatewayDocument | None = None, freshness_s: float = 3.0
 ) -> ConfigurationTracker:
-    tracker = ConfigurationTracker(clock, freshness_s)
+    tracker = ConfigurationTracker(clock, freshness_s, PROPAGATION_S)
     tracker.apply(document or make_document(), "test")
     tracker.confirm(clock.monotonic())
     return tracker
--- a/tests/builders_news.py
+++ b/tests/builders_news.py
@@ -4,14 +4,16 @@
 """
 
 import asyncio
+import math
 import selectors
 from collections.abc import Callable, Coroutine
+from enum import Enum
 from random import Random
 from typing import Any
 
 import msgspec
 
-from builders_gateway import make_document
+from builders_gateway import PROPAGATION_S, make_document
 from heathermount.errors import PeerTimeout, PeerUnreachable, StoreUnavailable
 from heathermount.gateway.background import restart_on_error
 from heathermount.gateway.configuration_document import GatewayDocument
@@ -223,6 +225,17 @@
         return bool(changed), self._store.revision
 
 
+class Disturbance(Enum):
+    """What a node loses during a fault."""
+
+    PEERS = "peers"
+    STORE = "store"
+    # Both the peers and the store.
+    CUT = "cut"
+    SUSPENDED = "suspended"
+    KILLED = "killed"
+
+
 class SimulatedNode:
     """One node's knowledge of the fleet, connected to the others by direct calls."""
 
@@ -238,6 +251,8 @@
         self.running = asyncio.Event()
         self.running.set()
         self.alive = False
+        # Simulated time since which the node has run and reached the store.
+        self.sound_since = math.inf
         self.messages = 0
         self.tasks: list[asyncio.Task[None]] = []
         self.client: SimulatedStoreClient
@@ -248,9 +263,10 @@
     def start(self, first_read_delay_s: float = 0.0) -> None:
         self.incarnation += 1
         self.alive = True
+        self.sound_since = asyncio.get_running_loop().time()
         clock = self.fleet.clock
         self.client = SimulatedStoreClient(self.fleet.store, self)
-        self.tracker = ConfigurationTracker(clock, FRESHNESS_S)
+        self.tracker = ConfigurationTracker(clock, FRESHNESS_S, PROPAGATION_S)
         self.quarantine = Quarantine(clock)
         record = NodeRecord(
             self.name, str(self.incarnation), self.name, "s", self.failure_domain, None
@@ -275,9 +291,33 @@
 
     def kill(self) -> None:
         self.alive = False
+        self.sound_since = math.inf
         for task in self.tasks:
             task.cancel()
 
+    def disturb(self, disturbance: Disturbance) -> None:
+        """Start a fault, which lasts until `recover`."""
+        if disturbance is Disturbance.KILLED:
+            self.kill()
+            return
+        if disturbance is not Disturbance.STORE:
+            self.isolated = True
+        if disturbance is Disturbance.SUSPENDED:
+            self.running.clear()
+        if disturbance is not Disturbance.PEERS:
+            self.cut_from_store = True
+            self.sound_since = math.inf
+
+    def recover(self) -> None:
+        if not self.alive:
+            self.start()
+            return
+        self.isolated = False
+        self.running.set()
+        if self.cut_from_store:
+            self.cut_from_store = False
+            self.sound_since = asyncio.get_running_loop().time()
+
     async def ask(self, address: str, ping: Ping, timeout_s: float) -> Pong:
         """Send a request for news to another node; implements SourceLinks."""
         self.messages += 1
