Read the configuration at an age that follows from the propagation bound

Callers saw requests handled by an old configuration longer than the propagation bound after a change. Cause: the ages at which a node stops waiting for its sources and reads the store were ratios of the freshness of keys (3.5 s), so a sound follower waited until 2.28 s, and 8 s more after a failed read. Nothing in the nodes read the propagation bound. Change: the ages are ratios of the smaller of the two bounds. A node whose sources fail in any way reads at 0.65 of it; after a failed read a follower checks with a stale read, a tenth of a call, every 0.3 to 1.2 s whether the store answers. Watches last 5 s, because one on a connection that was cut silently delivers nothing. The node's own reads depend on no other node, which is why the bound now holds whatever the others do.

--- a/src/heathermount/gateway/configuration_tracker.py
+++ b/src/heathermount/gateway/configuration_tracker.py
@@ -49,6 +49,11 @@
         self.longest_age_s = 0.0
         self.overdue_confirmations = 0
 
+    @property
+    def update_bound_s(self) -> float:
+        """Age of the confirmation, in seconds, that a node must never reach."""
+        return min(self.freshness_s, self.propagation_s)
+
     @property
     def version(self) -> int:
         return self.policy.version if self.policy is not None else 0
@@ -61,6 +66,10 @@
         """Whether no key revocation can have been missed for too long."""
         return self.age_s() <= self.freshness_s
 
+    def is_current(self) -> bool:
+        """Whether no change can have been missed for too long."""
+        return self.age_s() <= self.propagation_s
+
     def apply(self, document: GatewayDocument, source: str) -> bool:
         """Apply a configuration; return False if it is not newer."""
         if document.version <= self.version:
--- a/src/heathermount/gateway/configuration_updater.py
+++ b/src/heathermount/gateway/configuration_updater.py
@@ -18,12 +18,9 @@
 __all__ = ["ConfigurationReader", "ConfigurationUpdater"]
 
 # Watches only deliver changes early. That nothing has changed is confirmed by reads,
-# which a compacted history cannot mislead.
-WATCH_TIMEOUT_S: Final = 20.0
-
-# Delay between the attempts of a node that normally follows others. When the whole
-# store is unavailable, only the readers notice its return at once.
-FOLLOWER_RETRY_DELAY_S: Final = 8.0
+# which a compacted history cannot mislead. A watch whose connection has been cut
+# silently lasts until its timeout.
+WATCH_TIMEOUT_S: Final = 5.0
 
 
 class ConfigurationReader(Protocol):
@@ -36,6 +33,9 @@
         since the last call.
         """
 
+    async def check_available(self) -> None:
+        """Raise StoreUnavailable unless the store answers; costs less than a read."""
+
     async def wait_for_change(
         self, after_revision: int, timeout_s: float
     ) -> tuple[bool, int]:
@@ -99,9 +99,6 @@
     async def poll(self) -> None:
         """Read the configuration whenever its last confirmation is too old."""
         backoff = RetryBackoff(self._random)
-        follower_backoff = RetryBackoff(
-            self._random, FOLLOWER_RETRY_DELAY_S, FOLLOWER_RETRY_DELAY_S
-        )
         while True:
             remaining_s = self._follower.time_to_read_s()
             if remaining_s > 0.0:
@@ -110,13 +107,26 @@
             try:
                 await self._read()
                 backoff.reset()
-                follower_backoff.reset()
             except (StoreUnavailable, StoreOutcomeUnknown) as error:
                 self._log_failure(error)
-                if self._follower.place is None or self._follower.place.is_reader:
-                    await backoff.wait()
-                else:
-                    await follower_backoff.wait()
+                await self._wait_for_store(backoff)
+
+    async def _wait_for_store(self, backoff: RetryBackoff) -> None:
+        """Pause after a failed read; a follower waits until the store answers.
+
+        The reader keeps reading, because all others wait for its news. A follower
+        may reach the store again before its sources do, but a read by each of them
+        would cost the unavailable store too much.
+        """
+        await backoff.wait()
+        while self._follower.is_follower and self._follower.time_to_read_s() <= 0.0:
+            try:
+                await self._reader.check_available()
+            except (StoreUnavailable, StoreOutcomeUnknown):
+                # The failed read has been logged.
+                await backoff.wait()
+            else:
+                return
 
     async def _read(self) -> int:
         """Read and confirm the configuration; return the revision to watch from."""
--- a/src/heathermount/gateway/news.py
+++ b/src/heathermount/gateway/news.py
@@ -43,11 +43,13 @@
 # the follower's.
 CONFIRMATION_STEP_S: Final = 0.2
 
-# Ages of the last confirmation, as ratios of the freshness bound, at which a node
-# reads the configuration from the store: the reader regularly, the first nodes of each
-# failure domain when the reader fails, and any other node when those do.
-READER_AGE_RATIO: Final = 0.28
-STAND_IN_AGE_RATIO: Final = 0.45
+# Ages of the last confirmation, as ratios of the update bound, at which a node reads
+# the configuration from the store: the reader regularly, the first nodes of each
+# failure domain when the reader fails, and any other node when those do. Whatever
+# the other nodes do, a node that reaches the store thus learns of a change in time.
+# The rest of the bound covers the read and one repetition of it.
+READER_AGE_RATIO: Final = 0.4
+STAND_IN_AGE_RATIO: Final = 0.5
 FOLLOWER_AGE_RATIO: Final = 0.65
 
 # A source with an older confirmation does not know whether its entries are current.
@@ -222,6 +224,11 @@
         elif self._has_sound_source:
             self.reading.clear()
 
+    @property
+    def is_follower(self) -> bool:
+        """Whether the node usually learns of changes from other nodes."""
+        return self.place is not None and not self.place.is_reader
+
     def time_to_read_s(self) -> float:
         """Return the time until this node reads the configuration from the store."""
         place = self.place
@@ -234,7 +241,7 @@
         if self._tracker.policy is None and not place.is_reader:
             # A node that has just started asks its sources first.
             age_s = min(age_s, self._clock.monotonic() - self.joined_at)
-        return ratio * self._tracker.freshness_s - age_s
+        return ratio * self._tracker.update_bound_s - age_s
 
     def handle_read(self) -> None:
         """Watch the store from now on if no source is current but the store is."""
@@ -272,12 +279,12 @@
                 self._has_sound_source = False
                 return
             self._take_news(pong, sent_at + pong.held_s)
-            max_age_s = MAX_SOURCE_AGE_RATIO * self._tracker.freshness_s
+            max_age_s = MAX_SOURCE_AGE_RATIO * self._tracker.update_bound_s
             self._has_sound_source = pong.revision > 0 and pong.age_s <= max_age_s
             if not self._has_sound_source:
                 return
             self._note_source(record.node)
-            if self.place is not None and not self.place.is_reader:
+            if self.is_follower:
                 self.reading.clear()
             if record not in self._sources()[:1]:
                 # Return to the preferred source as soon as it answers again.
--- a/src/heathermount/platform/configuration.py
+++ b/src/heathermount/platform/configuration.py
@@ -159,6 +159,9 @@
             logging.error('event=configuration-invalid error="%s"', error)
             return None, revision
 
+    async def check_available(self) -> None:
+        await self._store.read_prefix(CONFIGURATION_KEY, stale=True)
+
     async def wait_for_change(
         self, after_revision: int, timeout_s: float
     ) -> tuple[bool, int]:
--- a/tests/builders_news.py
+++ b/tests/builders_news.py
@@ -213,6 +213,9 @@
         self._known_document_revision = self._store.document_revision
         return self._store.document, self._store.revision
 
+    async def check_available(self) -> None:
+        await self._call(CHEAP_CALL_PRICE)
+
     async def wait_for_change(
         self, after_revision: int, timeout_s: float
     ) -> tuple[bool, int]:
@@ -309,13 +312,12 @@
             self.sound_since = math.inf
 
     def recover(self) -> None:
+        was_sound = self.alive and not self.cut_from_store
+        self.isolated = self.cut_from_store = False
+        self.running.set()
         if not self.alive:
             self.start()
-            return
-        self.isolated = False
-        self.running.set()
-        if self.cut_from_store:
-            self.cut_from_store = False
+        elif not was_sound:
             self.sound_since = asyncio.get_running_loop().time()
 
     async def ask(self, address: str, ping: Ping, timeout_s: float) -> Pong:
