Ignore odd entries of other writers instead of failing on them

Reported by operators of similar systems: one odd entry among those of the servers ended the processes that read the list, or their following of it. Here an item that is not base64 made each read of its prefix fail, again and again, so that a node learnt of no other node any more; a port out of range ended the task of its link, and an address without a port raised in whoever asked for the link; slots, cold starts and times of any value reached the balancer. A heartbeat with a start in the far future kept out all real starts of its server, and one above 64 bits ended each registration of the node; a departures record with such a start kept its server out of service for good. Change: an unreadable value is read as empty; each entry, from the store or from a peer, is checked once where it is taken, and an unusable one counts as deleted, which also makes a node write its own entry again; heartbeats and departures are checked alike. heathermount.addresses has the check of addresses that the settings used.

--- a/src/heathermount/cli/control.py
+++ b/src/heathermount/cli/control.py
@@ -41,6 +41,7 @@
 import anyio
 from absl import app, flags
 
+from heathermount.addresses import is_address
 from heathermount.cli import actions
 from heathermount.cli.actions import FleetAccess, Rollout
 from heathermount.cli.explanation import explain_request, read_logs
@@ -50,7 +51,6 @@
     SecuritySettings,
     StoreSettings,
     check_tls_files,
-    is_address,
 )
 from heathermount.config.validation import TableValidator
 from heathermount.errors import (
--- a/src/heathermount/config/settings.py
+++ b/src/heathermount/config/settings.py
@@ -1,12 +1,12 @@
 """Settings of a node, read from TOML and validated before the node starts."""
 
-import ipaddress
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final, Self
 
 import msgspec
 
+from heathermount.addresses import is_address
 from heathermount.config.validation import TableValidator, load_toml
 
 __all__ = [
@@ -163,18 +163,6 @@
 }
 
 
-def is_address(address: str) -> bool:
-    """Return whether a string has the form "ip:port"."""
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    # int() raises ValueError for some characters that are digits in Unicode and for
-    # very long numbers.
-    return port.isascii() and port.isdecimal() and len(port) < 6 and int(port) < 65536
-
-
 def check_addresses(
     validator: TableValidator,
     listen: ListenSettings | None,
--- a/src/heathermount/gateway/departure_store.py
+++ b/src/heathermount/gateway/departure_store.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
+from heathermount.gateway.announcements import is_plausible_start
 from heathermount.gateway.backoff import RetryBackoff
 from heathermount.gateway.departures import Departures
 from heathermount.store.interface import WatchedStore
@@ -115,9 +116,19 @@
 
     def _decode(self, value: bytes) -> dict[str, int]:
         try:
-            return RECORD_DECODER.decode(value)
+            departed = RECORD_DECODER.decode(value)
         except (msgspec.MsgspecError, RecursionError) as error:
             logging.warning(
                 'event=departures-malformed key=%s error="%s"', self._key, error
             )
             return {}
+        for server_id, born_ms in list(departed.items()):
+            if not is_plausible_start(born_ms):
+                logging.warning(
+                    "event=departure-implausible key=%s server=%s born_ms=%d",
+                    self._key,
+                    server_id,
+                    born_ms,
+                )
+                del departed[server_id]
+        return departed
--- a/src/heathermount/gateway/node_records.py
+++ b/src/heathermount/gateway/node_records.py
@@ -1,10 +1,14 @@
 """Records of gateway nodes, and the versioned directory of all of them."""
 
+import math
 from collections.abc import Iterable
 from typing import Final
 
 import msgspec
 
+from heathermount.addresses import is_reachable_address
+from heathermount.gateway.announcements import find_server_fault
+
 __all__ = ["NodeChange", "NodeDirectory", "NodeRecord", "ServerRecord"]
 
 # Deletions kept for followers that have not seen them. A follower that lags further
@@ -23,6 +27,12 @@
     # Start time of the server, in milliseconds since the Unix epoch.
     born_ms: int = 0
 
+    def find_fault(self) -> str:
+        """Return what makes the record unusable; empty if it is sound."""
+        if not math.isfinite(self.joined_at):
+            return f"an announcement at {self.joined_at}"
+        return find_server_fault(self.slots, self.cold_start_s, self.born_ms)
+
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
     """A node's own entry in the store."""
@@ -36,6 +46,12 @@
     # None if no backend server is announced, or if it must not get requests.
     server: ServerRecord | None
 
+    def find_fault(self) -> str:
+        """Return what makes the record unusable; empty if it is sound."""
+        if not is_reachable_address(self.address):
+            return f"the address {self.address!r}"
+        return self.server.find_fault() if self.server is not None else ""
+
 
 class NodeChange(msgspec.Struct, frozen=True, array_like=True):
     """The latest change of one node's entry; `record` is None if it was deleted."""
--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -128,19 +128,22 @@
 
     def update_from_peer(self, pong: Pong) -> None:
         """Apply the entries in another node's answer to a request for news."""
+        # A node of another build may pass on what this one does not accept.
+        checked = [check_change(change) for change in pong.changes]
         if pong.complete:
-            changes = self.directory.replace(pong.changes, pong.revision)
+            changes = self.directory.replace(checked, pong.revision)
         else:
-            changes = self.directory.apply(pong.changes, pong.revision)
+            changes = self.directory.apply(checked, pong.revision)
         self._apply_changes(changes)
 
     async def _read_all_entries(self, stale: bool = False) -> int:
         items, revision = await self._store.read_prefix(NODE_KEY_PREFIX, stale)
-        entries = (
-            decode_change(key, item.version, item.value) for key, item in items.items()
-        )
         changes = self.directory.replace(
-            [entry for entry in entries if entry is not None], revision
+            [
+                decode_change(key, item.version, item.value)
+                for key, item in items.items()
+            ],
+            revision,
         )
         if not stale and NODE_KEY_PREFIX + self.own_node not in items:
             self._registration.handle_stored_record(None)
@@ -155,11 +158,9 @@
             else WATCH_TIMEOUT_S
         )
         batch = await self._store.watch(NODE_KEY_PREFIX, after_revision, wait_s)
-        entries = (
-            decode_change(one.key, one.version, one.value) for one in batch.events
-        )
         changes = self.directory.apply(
-            [entry for entry in entries if entry is not None], batch.revision
+            [decode_change(one.key, one.version, one.value) for one in batch.events],
+            batch.revision,
         )
         self._apply_changes(changes)
         if batch.events:
@@ -241,8 +242,12 @@
         self.nodes.pop(node, None)
 
 
-def decode_change(key: str, revision: int, value: bytes | None) -> NodeChange | None:
-    """Return the change of a node's entry; None if its value is malformed."""
+def decode_change(key: str, revision: int, value: bytes | None) -> NodeChange:
+    """Return the change of a node's entry.
+
+    An entry that another writer has left counts as deleted: it names no node, and
+    the node whose entry it replaces then writes it again.
+    """
     node = key.removeprefix(NODE_KEY_PREFIX)
     if value is None:
         return NodeChange(node, revision, None)
@@ -250,11 +255,20 @@
         record = RECORD_DECODER.decode(value)
     except (msgspec.MsgspecError, RecursionError) as error:
         logging.warning('event=entry-malformed key=%s error="%s"', key, error)
-        return None
+        return NodeChange(node, revision, None)
     if record.node != node:
         logging.warning("event=entry-misnamed key=%s node=%s", key, record.node)
-        return None
-    return NodeChange(node, revision, record)
+        return NodeChange(node, revision, None)
+    return check_change(NodeChange(node, revision, record))
+
+
+def check_change(change: NodeChange) -> NodeChange:
+    """Return a change, without its record if that one cannot be used."""
+    fault = change.record.find_fault() if change.record is not None else ""
+    if not fault:
+        return change
+    logging.warning('event=entry-unusable node=%s error="%s"', change.node, fault)
+    return NodeChange(change.node, change.revision, None)
 
 
 def make_member(record: NodeRecord) -> Member:
--- a/src/heathermount/platform/heartbeats.py
+++ b/src/heathermount/platform/heartbeats.py
@@ -6,8 +6,9 @@
 import msgspec
 from absl import logging
 
+from heathermount.addresses import is_reachable_address
 from heathermount.config.durations import parse_duration
-from heathermount.gateway.announcements import Announcement
+from heathermount.gateway.announcements import Announcement, find_server_fault
 from heathermount.gateway.http_server import HttpRequest, HttpResponse
 from heathermount.gateway.request_executor import RequestExecutor
 
@@ -17,6 +18,9 @@
 
 JSON_HEADERS: Final = [(b"content-type", b"application/json")]
 
+# Highest number that the records of the nodes can hold.
+MAX_SEQUENCE: Final = 2**63 - 1
+
 SERVER_STATES: Final = frozenset({"ready", "draining"})
 
 
@@ -47,17 +51,23 @@
     Raises msgspec.MsgspecError, ValueError or RecursionError if it is malformed.
     """
     heartbeat = HEARTBEAT_DECODER.decode(data)
-    if heartbeat.state not in SERVER_STATES or heartbeat.slots < 1:
-        raise ValueError(
-            f"state {heartbeat.state!r} with {heartbeat.slots} slots is invalid"
-        )
+    if heartbeat.state not in SERVER_STATES:
+        raise ValueError(f"state {heartbeat.state!r} is invalid")
+    if not is_reachable_address(heartbeat.address):
+        raise ValueError(f"address {heartbeat.address!r} is invalid")
+    if not 0 <= heartbeat.sequence <= MAX_SEQUENCE:
+        raise ValueError(f"sequence number {heartbeat.sequence} is invalid")
+    cold_start_s = parse_duration(heartbeat.cold_remaining)
+    fault = find_server_fault(heartbeat.slots, cold_start_s, heartbeat.born)
+    if fault:
+        raise ValueError(f"{fault} is invalid")
     return Announcement(
         server_id,
         heartbeat.service,
         heartbeat.address,
         heartbeat.slots,
         heartbeat.state == "draining",
-        parse_duration(heartbeat.cold_remaining),
+        cold_start_s,
         heartbeat.born,
         heartbeat.sequence,
     )
--- a/src/heathermount/platform/store.py
+++ b/src/heathermount/platform/store.py
@@ -6,6 +6,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+from absl import logging
 
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
 from heathermount.gateway.http_client import (
@@ -230,7 +231,17 @@
 
 
 def decode_value(item: Item) -> bytes:
+    """Return the value; empty if it cannot be read, which no record is.
+
+    One such value must not make the others unreadable.
+    """
     try:
         return base64.b64decode(item.value, validate=True)
     except ValueError as error:
-        raise StoreUnavailable(f"{item.key} is not valid base64: {error}") from error
+        logging.warning(
+            'event=value-malformed key=%s revision=%d error="%s"',
+            item.key,
+            item.revision,
+            error,
+        )
+        return b""
--- a/src/heathermount/standins/platform_store.py
+++ b/src/heathermount/standins/platform_store.py
@@ -123,6 +123,12 @@
         self._notify_watchers()
         return self.revision
 
+    def put_unencoded(self, key: str, text: str) -> None:
+        """Write a value that is no base64 text."""
+        self.revision += 1
+        self._put(key, text, 0)
+        self._notify_watchers()
+
     def compact(self) -> None:
         """Delete the history, so that watches from an older revision get 410."""
         self.history.clear()
