Refuse an unknown route or key finally only with a current configuration

Change: such a refusal needs a confirmation within the smaller of both bounds; otherwise 503 with a Retry-After, not run. Evidence: the new test fails on the commit before with 404 and 401.

--- a/src/heathermount/gateway/call_preparation.py
+++ b/src/heathermount/gateway/call_preparation.py
@@ -7,6 +7,7 @@
 
 from heathermount.admission import FairCohortScaler
 from heathermount.clocks import Clock
+from heathermount.errors import Refusal
 from heathermount.gateway.configuration_document import (
     GatewayPolicy,
     OrganisationEntry,
@@ -154,9 +155,7 @@
         path = target.decode("latin-1").partition("?")[0]
         route = policy.match_route(name, path)
         if route is None:
-            if not self._tracker.is_fresh():
-                raise make_refusal(Reason.CONFIGURATION_STALE, Outcome.NOT_RUN)
-            raise make_refusal(Reason.ROUTE_UNKNOWN, Outcome.NOT_RUN)
+            raise self._make_final_refusal(Reason.ROUTE_UNKNOWN)
         return route
 
     def _authenticate(
@@ -172,9 +171,19 @@
             raise make_refusal(Reason.KEY_MISSING, Outcome.NOT_RUN)
         owner = policy.authenticate(keys[0])
         if owner is None:
-            raise make_refusal(Reason.KEY_UNKNOWN, Outcome.NOT_RUN)
+            raise self._make_final_refusal(Reason.KEY_UNKNOWN)
         return owner
 
+    def _make_final_refusal(self, reason: Reason) -> Refusal:
+        """Return a refusal that the client takes as final.
+
+        A route or key may have been added unless the configuration is current; the
+        client is then told to come back.
+        """
+        if not self._tracker.is_current():
+            reason = Reason.CONFIGURATION_STALE
+        return make_refusal(reason, Outcome.NOT_RUN)
+
 
 def hash_cohort(request_id: bytes) -> int:
     """Return a request's shedding cohort, derived from its ID."""
--- a/src/heathermount/gateway/configuration_tracker.py
+++ b/src/heathermount/gateway/configuration_tracker.py
@@ -68,7 +68,7 @@
 
     def is_current(self) -> bool:
         """Whether no change can have been missed for too long."""
-        return self.age_s() <= self.propagation_s
+        return self.age_s() <= self.update_bound_s
 
     def apply(self, document: GatewayDocument, source: str) -> bool:
         """Apply a configuration; return False if it is not newer."""
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -193,6 +193,32 @@
     run_async(check)
 
 
+@pytest.mark.parametrize(("target", "key"), [("/new/1", KEY), ("/stock/1", b"new")])
+def test_unknown_route_or_key_is_not_final_at_a_node_that_may_lack_it(
+    target: str, key: bytes
+) -> None:
+    """Guards against a 404 or 401 for what a change has added meanwhile.
+
+    The node cannot confirm its configuration within the propagation bound; its keys
+    are still fresh.
+    """
+
+    async def check() -> None:
+        bounds = {"propagation": "1s", "revocation": "60s"}
+        async with run_fleet(("pantry",), **bounds) as (store, nodes):
+            store.down = True
+            await asyncio.sleep(1.1)
+            status, headers, _ = await nodes[0].request(target, key=key.decode())
+            assert (status, headers["heathermount-reason"]) == (
+                503,
+                "configuration-stale",
+            )
+            assert "retry-after" in headers
+            assert (await nodes[0].request())[0] == 200
+
+    run_async(check)
+
+
 def test_node_cut_off_from_the_store_is_updated_by_its_peer() -> None:
     """Guards against refusals at a node that only its peers can update.
 
