Pause after each loss of the store's history, and bound requests for news

Found by reading: a store whose history is gone again at each watch would be called without a pause; a request for news to a silent source could take its timeout twice, once for the connection and once for the answer. Change: the backoff of failed calls also follows a lost history; one deadline covers both parts of a request.

--- a/src/heathermount/gateway/configuration_updater.py
+++ b/src/heathermount/gateway/configuration_updater.py
@@ -90,6 +90,7 @@
                     revision = await self._read()
             except HistoryLost:
                 revision = 0
+                await backoff.wait()
             except (StoreUnavailable, StoreOutcomeUnknown) as error:
                 # The failed watch may have missed changes, so read again.
                 revision = 0
--- a/src/heathermount/gateway/links.py
+++ b/src/heathermount/gateway/links.py
@@ -349,8 +349,9 @@
 
     async def ask(self, address: str, ping: Ping, timeout_s: float) -> Pong:
         """Send a request for news; raise PeerError if there is no answer in time."""
+        deadline = self.clock.monotonic() + timeout_s
         link = await self.connect(address, timeout_s)
-        answer = await link.call(ping, timeout_s)
+        answer = await link.call(ping, deadline - self.clock.monotonic())
         if not isinstance(answer, Pong):
             raise PeerLost(f"{address} replied with an unexpected message type")
         return answer
--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -118,6 +118,7 @@
                 revision = await self._apply_next_changes(revision)
             except HistoryLost:
                 revision = 0
+                await backoff.wait()
             except (StoreUnavailable, StoreOutcomeUnknown) as error:
                 logging.log_every_n_seconds(
                     logging.WARNING, 'event=registry-unreadable error="%s"', 1, error
--- a/tests/builders_news.py
+++ b/tests/builders_news.py
@@ -242,9 +242,12 @@
 class SimulatedNode:
     """One node's knowledge of the fleet, connected to the others by direct calls."""
 
-    def __init__(self, fleet: "SimulatedFleet", name: str, failure_domain: str) -> None:
+    def __init__(
+        self, fleet: "SimulatedFleet", number: int, failure_domain: str
+    ) -> None:
         self.fleet = fleet
-        self.name = name
+        self.name = f"n-{number}"
+        self.address = f"10.0.{number // 250}.{number % 250}:7000"
         self.incarnation = 0
         self.failure_domain = failure_domain
         self.cut_from_store = False
@@ -272,7 +275,12 @@
         self.tracker = ConfigurationTracker(clock, FRESHNESS_S, PROPAGATION_S)
         self.quarantine = Quarantine(clock)
         record = NodeRecord(
-            self.name, str(self.incarnation), self.name, "s", self.failure_domain, None
+            self.name,
+            str(self.incarnation),
+            self.address,
+            "s",
+            self.failure_domain,
+            None,
         )
         self.view = FleetView(
             record,
@@ -323,7 +331,7 @@
     async def ask(self, address: str, ping: Ping, timeout_s: float) -> Pong:
         """Send a request for news to another node; implements SourceLinks."""
         self.messages += 1
-        target = self.fleet.nodes[address]
+        target = self.fleet.by_address[address]
         try:
             async with asyncio.timeout(timeout_s):
                 await asyncio.sleep(NETWORK_DELAY_S)
@@ -366,9 +374,10 @@
         self.clock = LoopClock()
         self.store = SimulatedStore()
         self.nodes = {
-            f"n-{i}": SimulatedNode(self, f"n-{i}", f"d-{i % domain_count}")
+            f"n-{i}": SimulatedNode(self, i, f"d-{i % domain_count}")
             for i in range(node_count)
         }
+        self.by_address = {node.address: node for node in self.nodes.values()}
         self._expiry = asyncio.create_task(self.store.expire_leases())
 
     async def start(self) -> None:
--- a/tests/test_gateway_propagation.py
+++ b/tests/test_gateway_propagation.py
@@ -7,13 +7,15 @@
 import os
 from functools import partial
 from random import Random
-from typing import Final
+from typing import Any, Final
+from unittest.mock import patch
 
 import pytest
 from absl import logging
 
 from builders_gateway import PROPAGATION_S, make_document
 from builders_news import (
+    STORE_DELAY_S,
     Disturbance,
     SimulatedFleet,
     SimulatedNode,
@@ -23,6 +25,7 @@
 )
 from heathermount.clocks import ManualClock
 from heathermount.gateway.configuration_tracker import ConfigurationTracker
+from heathermount.store.interface import HistoryLost
 
 # A node is only bound by PROPAGATION_S after it has run and reached the store for
 # this time.
@@ -163,3 +166,29 @@
         tracker.confirm(clock.monotonic())
     assert (tracker.overdue_confirmations, tracker.longest_age_s) == (1, 2.5)
     assert "event=configuration-overdue age_s=2.50" in caplog.text
+
+
+def test_store_that_keeps_losing_its_history_is_not_called_without_a_pause() -> None:
+    """Guards against a reader that calls the store in a tight loop."""
+
+    async def check() -> None:
+        fleet = SimulatedFleet(6, 1)
+        await fleet.start()
+        (reader,) = fleet.readers()
+
+        async def lose_history(*_: Any) -> Any:
+            await asyncio.sleep(STORE_DELAY_S)
+            raise HistoryLost("compacted")
+
+        with (
+            patch.object(reader.client, "wait_for_change", lose_history),
+            patch.object(reader.client, "watch", lose_history),
+        ):
+            calls = fleet.store.calls
+            await asyncio.sleep(10.0)
+            # Two watches, each with a read for each loss, beside the usual calls.
+            assert (fleet.store.calls - calls) / 10.0 <= 10.0
+            fleet.store.put_document(make_document(2))
+            await wait_until(lambda: fleet.have_version(2), PROPAGATION_S)
+
+    simulate(check)
