--- a/src/heathermount/gateway/announcements.py
+++ b/src/heathermount/gateway/announcements.py
@@ -1,19 +1,11 @@
 """Announcements of backend servers."""
 
 import math
-import time
 from typing import Final
 
 import msgspec
 
-__all__ = ["Announcement", "find_server_fault", "is_plausible_start"]
-
-# Values beyond these come from another writer or from corrupted data.
-MAX_SLOTS: Final = 100_000
-MAX_COLD_START_S: Final = 3600.0
-
-# Largest difference between the clocks of two instances.
-MAX_CLOCK_DIFFERENCE_S: Final = 86_400.0
+__all__ = ["Announcement"]
 
 # Some servers slow down when nearly all of their slots are in use: above 19 of
 # 20 on the users' platform. Servers with fewer than MIN_SLOTS_FOR_HEADROOM slots
@@ -57,22 +49,3 @@
     def has_same_address_and_slots(self, other: "Announcement") -> bool:
         """Return whether both have the same address and number of slots."""
         return (self.address, self.slots) == (other.address, other.slots)
-
-
-def find_server_fault(slots: int, cold_start_s: float, born_ms: int) -> str:
-    """Return what makes the state of a server unusable; empty if it is sound."""
-    if not 0 < slots <= MAX_SLOTS:
-        return f"{slots} slots"
-    if not 0.0 <= cold_start_s <= MAX_COLD_START_S:
-        return f"a cold start of {cold_start_s} s"
-    if not is_plausible_start(born_ms):
-        return f"a start at {born_ms} ms"
-    return ""
-
-
-def is_plausible_start(born_ms: int) -> bool:
-    """Return whether a server can have started at this time.
-
-    A start in the far future would make all real starts look like earlier ones.
-    """
-    return 0 <= born_ms <= (time.time() + MAX_CLOCK_DIFFERENCE_S) * 1000.0
--- a/src/heathermount/gateway/departure_store.py
+++ b/src/heathermount/gateway/departure_store.py
@@ -9,9 +9,9 @@
 from absl import logging
 
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
-from heathermount.gateway.announcements import is_plausible_start
 from heathermount.gateway.backoff import RetryBackoff
 from heathermount.gateway.departures import Departures
+from heathermount.record_checks import is_plausible_start
 from heathermount.store.interface import WatchedStore
 
 __all__ = ["DEPARTURES_PREFIX", "DepartureStore"]
--- a/src/heathermount/gateway/node_records.py
+++ b/src/heathermount/gateway/node_records.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from heathermount.addresses import is_reachable_address
-from heathermount.gateway.announcements import find_server_fault
+from heathermount.record_checks import find_server_fault
 
 __all__ = ["NodeChange", "NodeDirectory", "NodeRecord", "ServerRecord"]
 
--- a/src/heathermount/membership/directory.py
+++ b/src/heathermount/membership/directory.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from absl import logging
+
 from heathermount.clocks import Clock
 from heathermount.errors import InvalidMessage, PeerError, StoreUnavailable
 from heathermount.membership.records import RosterRecord, roster_key
@@ -119,4 +121,10 @@
             return None
         if found is None:
             return None
-        return RosterRecord.decode(found.value)
+        try:
+            return RosterRecord.decode(found.value)
+        except InvalidMessage as error:
+            logging.warning(
+                'event=roster-malformed service=%s error="%s"', service, error
+            )
+            return None
--- a/src/heathermount/membership/roster.py
+++ b/src/heathermount/membership/roster.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
+from heathermount.errors import InvalidMessage, StoreOutcomeUnknown, StoreUnavailable
 from heathermount.events import EventLog
 from heathermount.membership.records import MemberRecord, RosterRecord, roster_key
 from heathermount.store import Store
@@ -84,7 +84,12 @@
         found = await self._store.get(roster_key(self.service))
         if found is None:
             return 0, self.record
-        record = RosterRecord.decode(found.value)
+        try:
+            record = RosterRecord.decode(found.value)
+        except InvalidMessage as error:
+            # The next write replaces it; the members it lacks join again.
+            self._events.record("roster-malformed", error=str(error))
+            return found.version, self.record
         if record.revision < self.record.revision:
             # The store was restored with older data. Other nodes have seen the newer
             # revision and would not accept a lower one.
--- a/src/heathermount/platform/heartbeats.py
+++ b/src/heathermount/platform/heartbeats.py
@@ -8,9 +8,10 @@
 
 from heathermount.addresses import is_reachable_address
 from heathermount.config.durations import parse_duration
-from heathermount.gateway.announcements import Announcement, find_server_fault
+from heathermount.gateway.announcements import Announcement
 from heathermount.gateway.http_server import HttpRequest, HttpResponse
 from heathermount.gateway.request_executor import RequestExecutor
+from heathermount.record_checks import find_server_fault
 
 __all__ = ["HeartbeatHandler", "decode_heartbeat"]
 
