Bound the watch of the nodes' entries like that of the configuration

Found by reading, while looking for the same cause elsewhere: a watch of the entries whose connection was cut silently lasted 20 s, in which the one reader learnt of no server that joined or left, nor did those who follow it. Change: both watches share one timeout of 5 s. The simulated store loses the answer of a watch that is cut. Evidence: test_reader_whose_watches_were_lost_learns_of_changes_soon fails with 20 s; tests of propagation and news pass.

--- a/src/heathermount/gateway/backoff.py
+++ b/src/heathermount/gateway/backoff.py
@@ -1,10 +1,14 @@
-"""Exponential backoff with jitter for calls to the store."""
+"""Exponential backoff with jitter for calls to the store, and the time of watches."""
 
 import asyncio
 from random import Random
 from typing import Final
 
-__all__ = ["RetryBackoff"]
+__all__ = ["WATCH_TIMEOUT_S", "RetryBackoff"]
+
+# A watch counts as one call against the store's rate limit, however long it waits. One
+# whose connection has been cut silently delivers nothing until its timeout.
+WATCH_TIMEOUT_S: Final = 5.0
 
 # Every call counts against the store's rate limits, even one that it refuses. On the
 # other hand, entries whose leases expired during an outage of the store must be
--- a/src/heathermount/gateway/configuration_updater.py
+++ b/src/heathermount/gateway/configuration_updater.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import Final, Protocol
+from typing import Protocol
 
 from absl import logging
 
 from heathermount.clocks import Clock
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
-from heathermount.gateway.backoff import RetryBackoff
+from heathermount.gateway.backoff import WATCH_TIMEOUT_S, RetryBackoff
 from heathermount.gateway.configuration_document import GatewayDocument
 from heathermount.gateway.configuration_tracker import ConfigurationTracker
 from heathermount.gateway.news import NewsFollower
@@ -17,11 +17,6 @@
 
 __all__ = ["ConfigurationReader", "ConfigurationUpdater"]
 
-# Watches only deliver changes early. That nothing has changed is confirmed by reads,
-# which a compacted history cannot mislead. A watch whose connection has been cut
-# silently lasts until its timeout.
-WATCH_TIMEOUT_S: Final = 5.0
-
 
 class ConfigurationReader(Protocol):
     """Reads the operators' configuration from the store."""
@@ -49,6 +44,8 @@
 class ConfigurationUpdater:
     """Fetches new configurations and confirms that the current one is the newest.
 
+    Watches only deliver changes early. That nothing has changed is confirmed by reads,
+    which a compacted history cannot mislead.
     `watch` and `poll` run until cancelled.
     """
 
--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -10,7 +10,7 @@
 
 from heathermount.clocks import Clock
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
-from heathermount.gateway.backoff import RetryBackoff
+from heathermount.gateway.backoff import WATCH_TIMEOUT_S, RetryBackoff
 from heathermount.gateway.messages import Pong
 from heathermount.gateway.node_records import NodeChange, NodeDirectory, NodeRecord
 from heathermount.gateway.registration import NODE_KEY_PREFIX, Registration
@@ -19,9 +19,6 @@
 
 __all__ = ["Registry", "make_member"]
 
-# A long poll counts as one call against the store's rate limit.
-WATCH_TIMEOUT_S: Final = 20.0
-
 # Delay before the next watch after a change. Nodes often change together, and
 # each watch that returns costs a call.
 CHANGE_BATCH_DELAY_S: Final = 0.3
--- a/tests/builders_news.py
+++ b/tests/builders_news.py
@@ -166,8 +166,12 @@
             async with asyncio.timeout(wait_s):
                 while not find():
                     await self._store.changed.wait()
+                    if self._node.cut_from_store:
+                        # The answer is lost, also if the cut ends before the timeout.
+                        await asyncio.Event().wait()
         except TimeoutError:
-            pass
+            if find():
+                raise StoreUnavailable("the watch was cut") from None
         if self._node.cut_from_store or self._store.down:
             raise StoreUnavailable("the watch was cut")
         return find()
--- a/tests/test_gateway_propagation.py
+++ b/tests/test_gateway_propagation.py
@@ -24,6 +24,7 @@
     wait_until,
 )
 from heathermount.clocks import ManualClock
+from heathermount.gateway.backoff import WATCH_TIMEOUT_S
 from heathermount.gateway.configuration_tracker import ConfigurationTracker
 from heathermount.store.interface import HistoryLost
 
@@ -31,6 +32,9 @@
 # this time.
 STABLE_WINDOW_S: Final = 3.0
 
+# Delays of the store, the reader and the tree after the end of a lost watch.
+VIEW_DELAY_S: Final = 1.0
+
 SEEDS: Final = int(os.environ.get("PROPAGATION_SEEDS", "12"))
 CHANGES_PER_SEED: Final = 6
 
@@ -192,3 +196,33 @@
             await wait_until(lambda: fleet.have_version(2), PROPAGATION_S)
 
     simulate(check)
+
+
+def test_reader_whose_watches_were_lost_learns_of_changes_soon() -> None:
+    """Guards against a watch that waits on a connection which has been cut silently.
+
+    The store answers during a short cut; nothing comes on the old connections after it.
+    """
+
+    async def check() -> None:
+        fleet = SimulatedFleet(6, 1)
+        await fleet.start()
+        (reader,) = fleet.readers()
+        reader.disturb(Disturbance.STORE)
+        await asyncio.sleep(0.2)
+        follower = max(fleet.alive(), key=lambda node: node.position())
+        follower.view.registration.update_server(None)
+        await asyncio.sleep(0.2)
+        reader.recover()
+        own_name = follower.name
+        await wait_until(
+            lambda: all(
+                node.view.registry.nodes[own_name].server is None
+                for node in fleet.alive()
+            ),
+            WATCH_TIMEOUT_S + VIEW_DELAY_S,
+        )
+        fleet.store.put_document(make_document(2))
+        await wait_until(lambda: fleet.have_version(2), PROPAGATION_S)
+
+    simulate(check)
