--- a/tests/test_gateway_propagation.py
+++ b/tests/test_gateway_propagation.py
@@ -226,3 +226,50 @@
         await wait_until(lambda: fleet.have_version(2), PROPAGATION_S)
 
     simulate(check)
+
+
+def test_read_that_is_overtaken_neither_reverts_nor_confirms_a_change() -> None:
+    """Guards against an answer of the store that arrives after a newer one.
+
+    Its node reads in two tasks, and reads may also be answered by peers meanwhile.
+    """
+
+    async def check() -> None:
+        fleet = SimulatedFleet(1, 1)
+        await fleet.start()
+        (node,) = fleet.alive()
+        read = node.client.read
+        old = await read()
+        overtaken_at = fleet.clock.monotonic()
+        fleet.store.put_document(make_document(2))
+        await wait_until(lambda: fleet.have_version(2), PROPAGATION_S)
+
+        async def answer_late() -> Any:
+            await asyncio.sleep(0.5)
+            return (make_document(1), old[1])
+
+        with patch.object(node.client, "read", answer_late):
+            await asyncio.sleep(2.0)
+        assert node.tracker.version == 2
+        assert node.tracker.confirmed_at > overtaken_at
+
+    simulate(check)
+
+
+def test_restarted_node_does_not_keep_the_old_version_of_its_only_peer() -> None:
+    """Guards against a node that starts with what a node without the store knows."""
+
+    async def check() -> None:
+        fleet = SimulatedFleet(2, 1)
+        await fleet.start()
+        restarted, peer = fleet.alive()
+        restarted.kill()
+        peer.disturb(Disturbance.STORE)
+        fleet.store.put_document(make_document(2))
+        await asyncio.sleep(8.0)
+        restarted.recover()
+        await wait_until(lambda: restarted.tracker.version == 2, STABLE_WINDOW_S)
+        # The other one learns of it, although it is still without the store.
+        await wait_until(lambda: peer.tracker.version == 2, PROPAGATION_S)
+
+    simulate(check)
