Let spoilt answers of the soak's servers state the limit as well

Change: unsigned and failed answers of the stand-in carry the same headers as sound ones, so the check still binds.

--- a/src/heathermount/gateway/backoff.py
+++ b/src/heathermount/gateway/backoff.py
@@ -1,4 +1,4 @@
-"""Exponential backoff with jitter for calls to the store, and the time of watches."""
+"""Backoff with jitter for calls to the store, and the timeout of its watches."""
 
 import asyncio
 from random import Random
--- a/src/heathermount/gateway/configuration_tracker.py
+++ b/src/heathermount/gateway/configuration_tracker.py
@@ -44,14 +44,14 @@
         self.applied_at = float("-inf")
         self.confirmed_at = float("-inf")
         self.encoded_document = b""
-        # Highest age that a confirmation has ended, and the number of those that
-        # ended an overdue one.
+        # Highest age of the configuration before a confirmation, and the number of
+        # confirmations that were overdue.
         self.longest_age_s = 0.0
         self.overdue_confirmations = 0
 
     @property
     def update_bound_s(self) -> float:
-        """Age of the confirmation, in seconds, that a node must never reach."""
+        """Age of the confirmation, in seconds, before which a node has to renew it."""
         return min(self.freshness_s, self.propagation_s)
 
     @property
--- a/src/heathermount/platform/heartbeats.py
+++ b/src/heathermount/platform/heartbeats.py
@@ -19,7 +19,7 @@
 
 JSON_HEADERS: Final = [(b"content-type", b"application/json")]
 
-# Highest number that the records of the nodes can hold.
+# A higher sequence number is corrupted: no server sends that many heartbeats.
 MAX_SEQUENCE: Final = 2**63 - 1
 
 SERVER_STATES: Final = frozenset({"ready", "draining"})
--- a/src/heathermount/standins/platform_server.py
+++ b/src/heathermount/standins/platform_server.py
@@ -162,7 +162,7 @@
         response = make_response(status, request_id, body, True, extra)
         match fault:
             case Fault.ERROR:
-                writer.write(make_response(500, request_id, b"failed"))
+                writer.write(make_response(500, request_id, b"failed", True, extra))
             case Fault.TRUNCATED:
                 writer.write(response[:-3])
                 return False
@@ -190,7 +190,7 @@
             case Fault.GARBAGE:
                 writer.write(b"no answer at all\r\n\r\n")
             case Fault.UNSIGNED:
-                writer.write(make_response(200, request_id, body, signed=False))
+                writer.write(make_response(200, request_id, body, False, extra))
             case _:
                 writer.write(response)
         return True
