Let a replaced roster win over the revisions that its members know

Cause: found by reading the change before: a newcomer that replaces a malformed roster starts at revision 1, and members that know a higher one ignore it, so both sides stay apart until the group's next change. Change: the replacement continues from the store's version of the key, which is at least as high as any revision, because each revision was one write. Evidence: test_members_that_a_replaced_roster_lacks_join_again fails without it.

--- a/src/heathermount/membership/roster.py
+++ b/src/heathermount/membership/roster.py
@@ -87,15 +87,27 @@
         try:
             record = RosterRecord.decode(found.value)
         except InvalidMessage as error:
-            # The next write replaces it; the members it lacks join again.
             self._events.record("roster-malformed", error=str(error))
-            return found.version, self.record
+            return found.version, self._make_replacement(found.version)
         if record.revision < self.record.revision:
             # The store was restored with older data. Other nodes have seen the newer
             # revision and would not accept a lower one.
             record = self.record
         return found.version, record
 
+    def _make_replacement(self, version: int) -> RosterRecord:
+        """Return the record to continue from when the stored one is malformed.
+
+        Each revision was one write, so the store's version is at least as high as the
+        revision of any node. All of them accept the next one, and those that it lacks
+        join again.
+        """
+        return RosterRecord(
+            service=self.service,
+            revision=max(version, self.record.revision),
+            members=self.record.members,
+        )
+
     async def _write(self, version: int, record: RosterRecord) -> bool:
         key = roster_key(self.service)
         if not await self._store.commit({key: version}, {key: record.encode()}):
--- a/tests/test_roster_odd_records.py
+++ b/tests/test_roster_odd_records.py
@@ -76,6 +76,33 @@
     anyio.run(check)
 
 
+def test_members_that_a_replaced_roster_lacks_join_again() -> None:
+    """Guards against a group that never accepts the roster that a newcomer has written.
+
+    The newcomer has not seen the revisions of the others.
+    """
+
+    async def check() -> None:
+        store = make_store()
+        events = EventLog("test", ManualClock(), quiet=True)
+        known, new = (Roster("pantry", store, events, Random(1)) for _ in range(2))
+        for incarnation in ("1", "2", "3"):
+            await known.join(make_member(incarnation=incarnation))
+        item = await store.get(KEY)
+        assert item is not None
+        assert await store.commit({KEY: item.version}, {KEY: b"\xff"})
+        await new.join(make_member("pantry-2"))
+        assert known.accept(new.record)
+        await known.join(make_member(incarnation="3"))
+        assert new.accept(known.record)
+        assert [member.node for member in new.record.members] == [
+            "pantry-1",
+            "pantry-2",
+        ]
+
+    anyio.run(check)
+
+
 @pytest.mark.parametrize("value", [NESTED, b"\xff", b""], ids=["deep", "bad", "empty"])
 def test_refresh_survives_a_malformed_roster(value: bytes) -> None:
     """Guards against a task of the node that ends its process with an exception."""
