Let the configuration tracker read its own gauges

Change: they move to the tracker; names and values stay. Measured: the test of the metrics page passes.

--- a/src/heathermount/gateway/configuration_tracker.py
+++ b/src/heathermount/gateway/configuration_tracker.py
@@ -70,6 +70,15 @@
         """Whether no change can have been missed for too long."""
         return self.age_s() <= self.update_bound_s
 
+    def read_gauges(self) -> dict[str, float]:
+        """Return the values of the metrics, by name."""
+        return {
+            "configuration_version": float(self.version),
+            "configuration_age_seconds": self.age_s(),
+            "configuration_longest_age_seconds": self.longest_age_s,
+            "configuration_overdue": float(self.overdue_confirmations),
+        }
+
     def apply(self, document: GatewayDocument, source: str) -> bool:
         """Apply a configuration; return False if it is not newer."""
         if document.version <= self.version:
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -303,10 +303,7 @@
     def _read_gauges(self) -> dict[str, float]:
         load = self.executor.load()
         gauges = {
-            "configuration_version": float(self._tracker.version),
-            "configuration_age_seconds": self._tracker.age_s(),
-            "configuration_longest_age_seconds": self._tracker.longest_age_s,
-            "configuration_overdue": float(self._tracker.overdue_confirmations),
+            **self._tracker.read_gauges(),
             "nodes": float(len(self.registry.nodes)),
             "links": float(self._links.count()),
             "links_usable": float(self._links.count_usable()),
