--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,8 +27,11 @@
 QUOTA_SLACK = 20.0
 # Longest time in the site file for which the store turns some machines away.
 TURNED_AWAY_S = 9.0
-# One tenant sends 7.5 times its usual; its limit is 1.6 times that.
-DEMAND_PER_S = 7.5 * RATE_PER_S / 1.6
+# The tenant's usual rate is its limit divided by 1.6; for some time it sends 7.5 times
+# as much. Both and the time are those of the site file.
+USUAL_PER_S = RATE_PER_S / 1.6
+HOT_FACTOR = 7.5
+HOT_S = 6.5
 
 
 async def run(fleet: Fleet) -> tuple[str, int]:
@@ -72,15 +75,17 @@
         target = f"/stock/{request_id}"
         await send(node, request_id, "GET", target, record, key=f"key-{tenant}")
 
-    async def clients(nodes: list[Node], per_s: float) -> None:
-        """Send the tenant's requests at an even rate to nodes that are ready."""
+    per_s = USUAL_PER_S
+
+    async def clients(nodes: list[Node]) -> None:
+        """Send the tenant's requests at an even rate to all nodes in turn."""
         nonlocal count
         async with asyncio.TaskGroup() as group:
             while not stopping.is_set():
-                for node in nodes:
-                    count += 1
-                    group.create_task(one(node, f"r{count}"))
-                await asyncio.sleep(len(nodes) / per_s)
+                node = nodes[count % len(nodes)]
+                count += 1
+                group.create_task(one(node, f"r{count}"))
+                await asyncio.sleep(1.0 / per_s)
 
     added.start(first_start=False)
     record.write("machine-added", node=added.name)
@@ -95,11 +100,17 @@
         proxy.set_fault(NetworkFault.RESET)
         record.write("store-turns-away", node=added.name)
     added.server.start_beats()
-    load = asyncio.create_task(clients([*fleet.nodes], DEMAND_PER_S))
-    await asyncio.sleep(TURNED_AWAY_S)
+    load = asyncio.create_task(clients([*fleet.nodes]))
+    await asyncio.sleep(2.0)
+    per_s = HOT_FACTOR * USUAL_PER_S
+    record.write("tenant-hot", tenant=tenant, per_s=per_s)
+    await asyncio.sleep(HOT_S)
+    per_s = USUAL_PER_S
+    record.write("tenant-usual", tenant=tenant, per_s=per_s)
+    await asyncio.sleep(TURNED_AWAY_S - HOT_S - 2.0)
     proxy.set_fault(NetworkFault.NONE)
     record.write("store-serves-all")
-    await asyncio.sleep(6.0)
+    await asyncio.sleep(3.0)
     stopping.set()
     await load
     await proxy.stop()
