--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A departure that was acknowledged but not saved is forgotten when the node restarts."""
+"""A departure that was acknowledged but not saved is lost with the process."""
 
 import asyncio
 import sys
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -93,15 +93,18 @@
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
         self.running = 0
+        # Whether the server rejects a request although it has free slots.
+        self.rejects: Callable[[Server, Served], bool] = lambda server, request: False
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._beats: asyncio.Task[None] | None = None
 
-    async def start(self, port: int = 0, beats: bool = True) -> None:
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+    async def start(self, beats: bool = True) -> None:
+        """Listen at the address that the node's machine has for its server."""
+        self.address = self.node.application
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
         if beats:
             self.start_beats()
 
@@ -122,7 +125,9 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def make_heartbeat(self, state: str = "ready", sequence: int | None = None) -> bytes:
+    def make_heartbeat(
+        self, state: str = "ready", sequence: int | None = None
+    ) -> bytes:
         if sequence is None:
             self.sequence += 1
             sequence = self.sequence
@@ -145,9 +150,7 @@
         path = f"/heathermount/instances/{self.server_id}"
         try:
             async with asyncio.timeout(1.0):
-                status, _, _ = await exchange(
-                    self.node.control, method, path, {}, body
-                )
+                status, _, _ = await exchange(self.node.control, method, path, {}, body)
                 return status
         except (OSError, EOFError, TimeoutError):
             return None
@@ -178,7 +181,7 @@
         if expected not in (None, self.server_id):
             writer.write(format_answer(421, request.request_id, b"", False, self))
             return True
-        if self.running >= self.slots:
+        if self.running >= self.slots or self.rejects(self, request):
             writer.write(format_answer(503, request.request_id, b"", False, self))
             return True
         self.running += 1
@@ -203,6 +206,7 @@
         self.inbound = self._ports.reserve()
         self.readiness = self._ports.reserve()
         self.control = self._ports.reserve()
+        self.application = self._ports.reserve()
         self.store = store
         self.settings = folder / f"{name}.conf"
         self.log = folder / f"{name}.log"
@@ -216,7 +220,7 @@
                 "name": self.name,
                 "service": self.service,
                 "failure_domain": self.zone,
-                "application": self.server.address if self.server else "127.0.0.1:9",
+                "application": self.application,
                 "first_start": first_start,
             },
             "listen": {
@@ -231,7 +235,9 @@
         lines = []
         for section, entries in sections.items():
             lines.append(f"[{section}]")
-            lines += [f"{name} = {json.dumps(value)}" for name, value in entries.items()]
+            lines += [
+                f"{name} = {json.dumps(value)}" for name, value in entries.items()
+            ]
         self.settings.write_text("\n".join(lines) + "\n", encoding="utf-8")
         environment = {
             name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
@@ -335,7 +341,9 @@
     """The case could not be set up."""
 
 
-def make_route(name: str, service: str, kind: str, **fields: object) -> dict[str, object]:
+def make_route(
+    name: str, service: str, kind: str, **fields: object
+) -> dict[str, object]:
     return {
         "Name": name,
         "Host": HOST,
@@ -456,7 +464,7 @@
 
 
 def run_case(case: Callable[[Fleet], Awaitable[tuple[str, int]]], file: str) -> int:
-    """Run a case; return 1 if the rule was broken, 0 if it held, 2 if it did not run."""
+    """Run a case; return 1 if the rule broke, 0 if it held, 2 if it did not run."""
 
     async def run() -> int:
         record = Record(file)
