--- a/review/2/case.py
+++ b/review/2/case.py
@@ -125,8 +125,10 @@
         f"{most} requests of {tenant} ran in the {QUOTA_WINDOW_S:g} s from {at:.1f} s "
         f"on, {allowed:g} are allowed"
     )
-    return (f"QUOTA broken: {figures}", 1) if most > allowed else (
-        f"QUOTA held: {figures}", 0
+    return (
+        (f"QUOTA broken: {figures}", 1)
+        if most > allowed
+        else (f"QUOTA held: {figures}", 0)
     )
 
 
