Acknowledge a departure only once the store has it

Cause: DepartureStore.save gave up after 0.5 s and the heartbeat handler answered 200 whatever had become of the write. With the store silent, down or limited, the departure lived in one process only; the next process read a record without it and took a late heartbeat for news. A test asked for that acknowledgement.

Change: the departure is in force at once, as before, and acknowledged only if the store has it. Otherwise the server gets 503 and reports again. The wait is 0.8 s, as servers wait one second.

The replaced test, test_departures_are_acknowledged_during_a_store_outage, asked for the promise that cannot be kept. The new ones ask that the departure is in force within a second, saved afterwards, and that an acknowledged one survives a kill, for DELETE and draining, five faults of the store and three lengths of the outage.

--- a/src/heathermount/gateway/departure_store.py
+++ b/src/heathermount/gateway/departure_store.py
@@ -18,9 +18,9 @@
 
 DEPARTURES_PREFIX: Final = "departures/"
 
-# Longest delay of a departure's acknowledgement while the record is saved. Servers
-# wait one second for an acknowledgement.
-SAVE_TIMEOUT_S: Final = 0.5
+# Longest wait for the record to be saved before a departure is left unacknowledged.
+# Servers wait one second for an acknowledgement.
+SAVE_TIMEOUT_S: Final = 0.8
 
 RECORD_DECODER: Final = msgspec.msgpack.Decoder(dict[str, int])
 
@@ -28,7 +28,8 @@
 class DepartureStore:
     """Saves the departures of a node's backend servers in the store.
 
-    A departure that the node has acknowledged must still hold after a restart.
+    A departure that the node has acknowledged must still hold after a restart, so
+    that only saved departures may be acknowledged.
     """
 
     __slots__ = (
@@ -81,13 +82,18 @@
             backoff.reset()
             await self._departures.changed.wait()
 
-    async def save(self) -> None:
-        """Wait until all departures are saved, or until a timeout."""
+    async def save(self) -> bool:
+        """Wait until all departures are saved, or until a timeout.
+
+        Returns whether they are saved.
+        """
         try:
             async with asyncio.timeout(SAVE_TIMEOUT_S), self._save_completed:
                 await self._save_completed.wait_for(self._is_saved)
         except TimeoutError:
             logging.warning("event=departure-unsaved key=%s", self._key)
+            return False
+        return True
 
     def _is_saved(self) -> bool:
         return self._departures.copy_latest() == self._saved
--- a/src/heathermount/platform/heartbeats.py
+++ b/src/heathermount/platform/heartbeats.py
@@ -77,7 +77,8 @@
 class HeartbeatHandler:
     """Accepts heartbeats (PUT) and departures (DELETE) of the backend server.
 
-    `save_departures` is awaited before a departure or drain is acknowledged.
+    A departure or drain takes effect at once. It is acknowledged if `save_departures`
+    returns that it is saved; otherwise the server reports it again.
     """
 
     __slots__ = ("_executor", "_save_departures", "_service")
@@ -86,7 +87,7 @@
         self,
         executor: RequestExecutor,
         service: str,
-        save_departures: Callable[[], Awaitable[None]],
+        save_departures: Callable[[], Awaitable[bool]],
     ) -> None:
         self._executor = executor
         self._service = service
@@ -99,8 +100,7 @@
         server_id = target.removeprefix(HEARTBEAT_PATH_PREFIX)
         if request.method == b"DELETE":
             self._executor.handle_departure(server_id)
-            await self._save_departures()
-            return HttpResponse(200, JSON_HEADERS, b"{}")
+            return await self._acknowledge_departure()
         if request.method != b"PUT":
             return HttpResponse(405, [])
         try:
@@ -119,5 +119,15 @@
             return HttpResponse(400, [])
         self._executor.handle_heartbeat(announcement)
         if announcement.draining:
-            await self._save_departures()
-        return HttpResponse(200, JSON_HEADERS, b"{}")
+            return await self._acknowledge_departure()
+        return make_acknowledgement()
+
+    async def _acknowledge_departure(self) -> HttpResponse:
+        """Acknowledge a departure unless a restart of this node could forget it."""
+        if await self._save_departures():
+            return make_acknowledgement()
+        return HttpResponse(503, [])
+
+
+def make_acknowledgement() -> HttpResponse:
+    return HttpResponse(200, JSON_HEADERS, b"{}")
