Use the retry slack only at nodes that the others know

Each node divides the slack of the retry budget by the nodes that it knows, itself included. New nodes that the store turns away are not counted by the others, so that all together use more than the slack.

Change: a node without an entry in the store uses none of the slack. Its retries are limited to a ratio of its own requests.

Measured: with 3 such nodes beside 7, all together may use 1.37 times the slack before (test_nodes_together_use_the_retry_slack_once fails for all three faults), at most once after.

--- a/src/heathermount/gateway/membership.py
+++ b/src/heathermount/gateway/membership.py
@@ -67,6 +67,7 @@
         holders = registry.list_registered_servers()
         self._quota.update_nodes(holders or registry.list_registered_nodes())
         self._retry_budget.node_count = len(nodes)
+        self._retry_budget.uses_slack = registry.registered
         addresses = {
             record.address for record in nodes.values() if record.node != self._own_name
         }
--- a/src/heathermount/gateway/retry_budget.py
+++ b/src/heathermount/gateway/retry_budget.py
@@ -58,7 +58,15 @@
     first attempts and uses an equal part of the slack.
     """
 
-    __slots__ = ("_bucket_s", "_clock", "_requests", "_retries", "limits", "node_count")
+    __slots__ = (
+        "_bucket_s",
+        "_clock",
+        "_requests",
+        "_retries",
+        "limits",
+        "node_count",
+        "uses_slack",
+    )
 
     def __init__(self, limits: RetryLimits, clock: Clock) -> None:
         self.limits = limits
@@ -68,6 +76,8 @@
         self._retries: dict[str, SlidingWindowCounter] = {}
         # Number of nodes that share the slack.
         self.node_count = 1
+        # False while the other nodes divide the slack without this one.
+        self.uses_slack = True
 
     def record_first_send(self, service: str) -> None:
         """Count the first attempt of a client's request."""
@@ -85,7 +95,8 @@
             service, SlidingWindowCounter()
         ).count_events(bucket)
         retries = self._retries.setdefault(service, SlidingWindowCounter())
-        allowed = self.limits.ratio * requests + self.limits.slack / self.node_count
+        slack = self.limits.slack / self.node_count if self.uses_slack else 0.0
+        allowed = self.limits.ratio * requests + slack
         if (
             retries.count_events(bucket) + 1
             > USABLE_BUDGET_RATIO * (1.0 - reserve_ratio) * allowed
--- a/tests/test_gateway_quota_faults.py
+++ b/tests/test_gateway_quota_faults.py
@@ -22,6 +22,8 @@
 # Each organisation sends about five times its rate.
 DEMAND_PER_S: Final = 94.0
 
+ROUNDING_ERROR: Final = 1e-9
+
 # Longer than the time for which the store keeps an entry without a renewal.
 LONG_OUTAGE_S: Final = 22.0
 
@@ -155,6 +157,35 @@
         setattr(node, fault.value, False)
 
 
+@pytest.mark.parametrize("fault", StoreFault)
+def test_nodes_together_use_the_retry_slack_once(fault: StoreFault) -> None:
+    """Guards against a new node that uses a part of the slack unknown to the others."""
+
+    async def check() -> None:
+        fleet = SimulatedFleet(7, 3, QuotaNode)
+        await fleet.start()
+        for _ in range(3):
+            node = fleet.add_node()
+            node.start(with_server=False)
+            await asyncio.sleep(0.1)
+            setattr(node, fault.value, True)
+            node.announce_server()
+        await asyncio.sleep(9.0)
+        assert sum_slack_shares(fleet) <= 1.0 + ROUNDING_ERROR
+        for node in fleet.alive():
+            recover(node)
+        await asyncio.sleep(5.0)
+        assert sum_slack_shares(fleet) == pytest.approx(1.0)
+
+    simulate(check)
+
+
+def sum_slack_shares(fleet: SimulatedFleet) -> float:
+    """Return the part of the retry slack that all nodes together may use."""
+    budgets = [n.retry_budget for n in fleet.alive() if isinstance(n, QuotaNode)]
+    return sum(1.0 / one.node_count for one in budgets if one.uses_slack)
+
+
 def test_limit_is_available_on_a_sound_fleet() -> None:
     """Guards against refusals within the rate by nodes that know their entries."""
 
