Bound the work that a backend server's response may cost

Cause: a response that names another request was skipped, and its bytes were no longer counted. Each cost some callbacks and a log line, so that memory stayed bounded and work did not. The same class: a chunked body of 15 MiB in chunks of one byte calls the parser back 2.6 million times.

Change: at most 4 responses to other requests may precede the expected one. A response also has a cost: its bytes, with short reads and parts of a body rounded up. The parser stops in the middle of a read when the response is aborted. The log line of a skipped response is written once a second.

--- a/src/heathermount/gateway/server_connection.py
+++ b/src/heathermount/gateway/server_connection.py
@@ -32,6 +32,16 @@
 # A response must fit into one frame between nodes.
 MAX_RESPONSE_BYTES: Final = MAX_BODY_BYTES
 
+# Late responses to earlier requests that may precede the expected one.
+MAX_FOREIGN_RESPONSES: Final = 4
+
+# Processor time that a response may cost, in bytes that cost as much in long reads.
+# Each read and each part of a body counts at least as the given number of bytes, so
+# that bytes in tiny pieces do not cost a multiple.
+MAX_RESPONSE_COST: Final = MAX_RESPONSE_BYTES
+MIN_READ_COST: Final = 1024
+MIN_BODY_PART_COST: Final = 160
+
 # Responses with lower statuses are informational; the final response follows.
 FIRST_FINAL_STATUS: Final = 200
 
@@ -81,7 +91,9 @@
         "_close_after_response",
         "_closed",
         "_content_length",
+        "_cost",
         "_expected_id",
+        "_foreign_responses",
         "_future",
         "_headers",
         "_id_header",
@@ -109,6 +121,10 @@
         self._response_started = False
         self._content_length = -1
         self._trailer_bytes = 0
+        # Cost of the current response so far, see MAX_RESPONSE_COST.
+        self._cost = 0
+        # Responses to other requests since the current request was sent.
+        self._foreign_responses = 0
         self._headers: Headers = []
         self._body: bytes | bytearray = b""
         self.expires_at = 0.0
@@ -141,6 +157,7 @@
             self.close()
             return
         self._count_received(len(data))
+        self._count_cost(max(len(data), MIN_READ_COST))
         if self._closed:
             return
         try:
@@ -168,6 +185,11 @@
         if self.received_bytes > MAX_RESPONSE_BYTES:
             self.abort_response(f"over {MAX_RESPONSE_BYTES} bytes")
 
+    def _count_cost(self, cost: int) -> None:
+        self._cost += cost
+        if self._cost > MAX_RESPONSE_COST:
+            self.abort_response("it came in too many small parts")
+
     def _discard_buffer(self) -> None:
         """Release the buffer of a complete or failed response."""
         self._pool.count_buffered(-self.received_bytes)
@@ -182,6 +204,8 @@
         self._expected_id = request_id
         self._is_head_request = is_head
         self._response_started = False
+        self._cost = 0
+        self._foreign_responses = 0
         self.transport.write(data)
         return self._future
 
@@ -194,6 +218,8 @@
     # Parser callbacks.
 
     def on_message_begin(self) -> None:
+        if self._closed:
+            raise ConnectionAbortedError("the rest of the read is not parsed")
         if self._future is None:
             self._close_after_response = True
         self._headers = []
@@ -239,7 +265,10 @@
     def on_body(self, body: bytes) -> None:
         if self._future is None:
             self._close_after_response = True
+            if self._closed:
+                raise ConnectionAbortedError("the rest of the read is not parsed")
             return
+        self._count_cost(max(0, MIN_BODY_PART_COST - len(body)))
         if not self._body:
             self._body = body
             return
@@ -263,11 +292,7 @@
                 self.abort_response("it names no request")
                 return
             if echoed != self._expected_id:
-                # A late response to an earlier request; the expected one follows.
-                logging.info("event=answer-mismatched request=%r", self._expected_id)
-                self._close_after_response = True
-                self._response_started = False
-                self._discard_buffer()
+                self._skip_foreign_response()
                 return
         self._future = None
         body = bytes(self._body)
@@ -287,6 +312,21 @@
                 ServerResponse(self._parser.get_status_code(), self._headers, body)
             )
 
+    def _skip_foreign_response(self) -> None:
+        """Skip a late response to an earlier request; the expected one follows."""
+        logging.log_every_n_seconds(
+            logging.INFO, "event=answer-mismatched request=%r", 1, self._expected_id
+        )
+        self._foreign_responses += 1
+        if self._foreign_responses > MAX_FOREIGN_RESPONSES:
+            self.abort_response(
+                f"over {MAX_FOREIGN_RESPONSES} responses to other requests"
+            )
+            return
+        self._close_after_response = True
+        self._response_started = False
+        self._discard_buffer()
+
     def _fail(self, cause: str) -> None:
         future, self._future = self._future, None
         self._discard_buffer()
--- a/src/heathermount/standins/endless_server.py
+++ b/src/heathermount/standins/endless_server.py
@@ -6,10 +6,13 @@
 
 from heathermount.standins.loopback_server import LoopbackServerStandIn
 
-__all__ = ["EndlessPart", "EndlessServerStandIn"]
+__all__ = ["FOREIGN_RESPONSE", "EndlessPart", "EndlessServerStandIn"]
 
 STATUS_LINE_OK: Final = b"HTTP/1.1 200 OK\r\n"
 COMPLETE_RESPONSE: Final = STATUS_LINE_OK + b"Content-Length: 5\r\n\r\nwhole"
+FOREIGN_RESPONSE: Final = (
+    STATUS_LINE_OK + b"X-Heathermount-Request-Id: another\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class EndlessPart(Enum):
@@ -23,6 +26,8 @@
     CHUNKED_BODY = "chunked body"
     SIZED_BODY = "body with an absurd length"
     TRAILERS = "trailers"
+    FOREIGN_RESPONSES = "complete answers to another request"
+    TINY_CHUNKS = "chunks of one byte"
 
 
 class EndlessServerStandIn(LoopbackServerStandIn):
@@ -88,3 +93,7 @@
             return STATUS_LINE_OK + b"Content-Length: 999999999999999\r\n\r\n", filler
         case EndlessPart.TRAILERS:
             return chunked + b"0\r\n", b"X-Trailer: a\r\n" * max(1, chunk_bytes // 14)
+        case EndlessPart.FOREIGN_RESPONSES:
+            return b"", FOREIGN_RESPONSE * max(1, chunk_bytes // len(FOREIGN_RESPONSE))
+        case EndlessPart.TINY_CHUNKS:
+            return chunked, b"1\r\na\r\n" * max(1, chunk_bytes // 6)
