Close links on which a peer sends what no node sends

Cause: looked at after the endless answers of servers. An answer without a call was decoded and ignored, and a message that is no request cost a traceback in the log, each without end.

Change: a link allows as many answers without a call as calls were cancelled on its connection, then closes it with one line. A message that is no request closes its connection like a malformed one.

Measured: test_endless_answers_close_the_connection and test_message_that_is_no_request_closes_its_connection fail before and pass after. test_late_answers_to_cancelled_calls_keep_the_connection passes before and after.

--- a/src/heathermount/gateway/links.py
+++ b/src/heathermount/gateway/links.py
@@ -65,6 +65,7 @@
     """
 
     __slots__ = (
+        "_abandoned_calls",
         "_close_when_idle",
         "_connect_failed",
         "_host",
@@ -92,6 +93,8 @@
         self._protocol: LinkProtocol | None = None
         self._pending_calls: dict[int, asyncio.Future[Message]] = {}
         self._next_call_id = 1
+        # Cancelled calls whose answers may still arrive on this connection.
+        self._abandoned_calls = 0
         self._last_received_at = 0.0
         self._close_when_idle = False
         self._connect_failed = False
@@ -155,6 +158,7 @@
             self._pending_calls.pop(call_id, None) is not None
             and self._protocol is not None
         ):
+            self._abandoned_calls += 1
             self._protocol.send_frame(call_id, FrameKind.CANCEL)
 
     async def call(self, message: Message, timeout_s: float) -> Message:
@@ -179,15 +183,26 @@
         future = self._pending_calls.pop(call_id, None)
         if self._close_when_idle and not self._pending_calls:
             self.close()
-        if future is None or future.done():
+        if future is None:
+            self._handle_unexpected_answer()
+            return
+        if future.done():
             return
         if answer is not None:
             future.set_result(answer)
         else:
             future.set_exception(PeerLost(f"{self.address} failed to answer"))
 
+    def _handle_unexpected_answer(self) -> None:
+        """Close a connection with more answers than calls, each of which costs time."""
+        self._abandoned_calls -= 1
+        if self._abandoned_calls < 0 and self._protocol is not None:
+            logging.warning("event=answer-unexpected peer=%s", self.address)
+            self._protocol.close()
+
     def handle_disconnect(self) -> None:
         self._protocol = None
+        self._abandoned_calls = 0
         self.attempted.clear()
         self._used.set()
         error = PeerLost(f"the connection to {self.address} ended")
--- a/src/heathermount/gateway/messages.py
+++ b/src/heathermount/gateway/messages.py
@@ -11,6 +11,7 @@
 __all__ = [
     "MESSAGE_DECODER",
     "MESSAGE_ENCODER",
+    "REQUEST_TYPES",
     "Answer",
     "Execute",
     "Message",
@@ -127,6 +128,9 @@
 
 Message = Execute | Answer | Ping | Pong | TokenRequest | TokenGrant
 
+# Messages that a node answers.
+REQUEST_TYPES: Final = (Execute, Ping, TokenRequest)
+
 MESSAGE_ENCODER: Final = msgspec.msgpack.Encoder()
 MESSAGE_DECODER: Final[msgspec.msgpack.Decoder[Message]] = msgspec.msgpack.Decoder(
     Message
--- a/src/heathermount/gateway/peer_connections.py
+++ b/src/heathermount/gateway/peer_connections.py
@@ -9,7 +9,12 @@
 from absl import logging
 
 from heathermount.framing import FRAME_HEADER, MAX_FRAME_BYTES, FrameKind
-from heathermount.gateway.messages import MESSAGE_DECODER, MESSAGE_ENCODER, Message
+from heathermount.gateway.messages import (
+    MESSAGE_DECODER,
+    MESSAGE_ENCODER,
+    REQUEST_TYPES,
+    Message,
+)
 
 __all__ = ["FrameProtocol", "PeerConnection", "PeerHandler", "configure_socket"]
 
@@ -116,6 +121,8 @@
                 task.cancel()
             return
         message = MESSAGE_DECODER.decode(body)
+        if not isinstance(message, REQUEST_TYPES):
+            raise msgspec.ValidationError(f"{type(message).__name__} is no request")
         self._tasks[call_id] = self._loop.create_task(self._run_call(call_id, message))
 
     async def _run_call(self, call_id: int, message: Message) -> None:
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -13,7 +13,14 @@
 from heathermount.framing import FRAME_HEADER, FrameKind
 from heathermount.gateway import links
 from heathermount.gateway.links import Link, LinkTable
-from heathermount.gateway.messages import Answer, Execute, Message, Ping, Pong
+from heathermount.gateway.messages import (
+    MESSAGE_ENCODER,
+    Answer,
+    Execute,
+    Message,
+    Ping,
+    Pong,
+)
 from heathermount.gateway.peer_connections import PeerConnection
 
 
@@ -336,3 +343,65 @@
             assert isinstance(answer, Pong)
 
     run_async(check)
+
+
+def test_endless_answers_close_the_connection() -> None:
+    """Guards against a peer whose answers without a call take processor time."""
+
+    async def check() -> None:
+        frame = FRAME_HEADER.pack(0, 1, FrameKind.REJECTED)
+
+        async def answer_endlessly(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            try:
+                while True:
+                    writer.write(frame * 1000)
+                    await writer.drain()
+            except OSError:
+                # The link has closed the connection.
+                pass
+            closed.set()
+
+        closed = asyncio.Event()
+        server = await asyncio.start_server(answer_endlessly, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        table = make_table()
+        await table.connect(f"{host}:{port}", 5.0)
+        await asyncio.wait_for(closed.wait(), 5.0)
+        table.close()
+        server.close()
+
+    run_async(check)
+
+
+def test_late_answers_to_cancelled_calls_keep_the_connection() -> None:
+    """Guards against a bound on unexpected answers that counts expected ones."""
+
+    async def check() -> None:
+        peer = SlowPeer()
+        async with serve_peer(peer.handle) as (_, link, connections):
+            for _ in range(20):
+                with pytest.raises(PeerTimeout):
+                    await link.call(make_execute(), 0.01)
+                (connection,) = connections
+                connection.send_frame(1, FrameKind.REJECTED)
+            answer = await link.call(Ping("n-1", 0, 0.0), 5.0)
+            assert isinstance(answer, Pong) and link.usable
+
+    run_async(check)
+
+
+def test_message_that_is_no_request_closes_its_connection() -> None:
+    """Guards against a log line for each message that no node can have sent."""
+
+    async def check() -> None:
+        async with serve_peer(answer_pings) as (_, link, _):
+            host, _, port = link.address.rpartition(":")
+            body = MESSAGE_ENCODER.encode(Pong(0, 0.0, None, True))
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(FRAME_HEADER.pack(len(body), 1, FrameKind.REQUEST) + body)
+            assert await asyncio.wait_for(reader.read(), 5.0) == b""
+            writer.close()
+
+    run_async(check)
