Pause between watches that the store answers at once

Cause: a watch that returned without a change was repeated at once, so that a store that answers early got as many calls as the network allows. Lines about malformed heartbeats had no bound either.

Change: at least 0.1 s between the starts of two watches. Lines about heartbeats that cannot be used are written once a second.

Measured: test_watches_that_return_at_once_cost_few_calls fails before and passes after, at most 600 calls in 30 s of two watches.

--- a/src/heathermount/gateway/backoff.py
+++ b/src/heathermount/gateway/backoff.py
@@ -4,12 +4,16 @@
 from random import Random
 from typing import Final
 
-__all__ = ["WATCH_TIMEOUT_S", "RetryBackoff"]
+__all__ = ["WATCH_TIMEOUT_S", "RetryBackoff", "pause_between_watches"]
 
 # A watch counts as one call against the store's rate limit, however long it waits. One
 # whose connection has been cut silently delivers nothing until its timeout.
 WATCH_TIMEOUT_S: Final = 5.0
 
+# Shortest time between the starts of two watches. Bounds the calls while the store
+# answers them at once without a change.
+MIN_WATCH_INTERVAL_S: Final = 0.1
+
 # Every call counts against the store's rate limits, even one that it refuses. On the
 # other hand, entries whose leases expired during an outage of the store must be
 # written again within two seconds of its return.
@@ -50,3 +54,8 @@
     async def wait(self) -> None:
         """Sleep for the delay after another failure."""
         await asyncio.sleep(self.next_delay_s())
+
+
+async def pause_between_watches(elapsed_s: float) -> None:
+    """Sleep until the next watch, `elapsed_s` after the start of the last one."""
+    await asyncio.sleep(max(0.0, MIN_WATCH_INTERVAL_S - elapsed_s))
--- a/src/heathermount/gateway/configuration_updater.py
+++ b/src/heathermount/gateway/configuration_updater.py
@@ -9,7 +9,11 @@
 
 from heathermount.clocks import Clock
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
-from heathermount.gateway.backoff import WATCH_TIMEOUT_S, RetryBackoff
+from heathermount.gateway.backoff import (
+    WATCH_TIMEOUT_S,
+    RetryBackoff,
+    pause_between_watches,
+)
 from heathermount.gateway.configuration_document import GatewayDocument
 from heathermount.gateway.configuration_tracker import ConfigurationTracker
 from heathermount.gateway.news import NewsFollower
@@ -80,11 +84,13 @@
                 if not revision:
                     revision = await self._read()
                     backoff.reset()
+                started_at = self._clock.monotonic()
                 changed, revision = await self._reader.wait_for_change(
                     revision, WATCH_TIMEOUT_S
                 )
                 if changed:
                     revision = await self._read()
+                await pause_between_watches(self._clock.monotonic() - started_at)
             except HistoryLost:
                 revision = 0
                 await backoff.wait()
--- a/src/heathermount/gateway/registry.py
+++ b/src/heathermount/gateway/registry.py
@@ -10,7 +10,11 @@
 
 from heathermount.clocks import Clock
 from heathermount.errors import StoreOutcomeUnknown, StoreUnavailable
-from heathermount.gateway.backoff import WATCH_TIMEOUT_S, RetryBackoff
+from heathermount.gateway.backoff import (
+    WATCH_TIMEOUT_S,
+    RetryBackoff,
+    pause_between_watches,
+)
 from heathermount.gateway.messages import Pong
 from heathermount.gateway.node_records import NodeChange, NodeDirectory, NodeRecord
 from heathermount.gateway.registration import NODE_KEY_PREFIX, Registration
@@ -179,6 +183,7 @@
             if self._missing_since
             else WATCH_TIMEOUT_S
         )
+        started_at = self._clock.monotonic()
         batch = await self._store.watch(NODE_KEY_PREFIX, after_revision, wait_s)
         changes = self.directory.apply(
             [decode_change(one.key, one.version, one.value) for one in batch.events],
@@ -187,6 +192,8 @@
         self._apply_changes(changes)
         if batch.events:
             await asyncio.sleep(CHANGE_BATCH_DELAY_S)
+        else:
+            await pause_between_watches(self._clock.monotonic() - started_at)
         return batch.revision
 
     def _apply_changes(self, changes: Iterable[NodeChange]) -> None:
--- a/src/heathermount/platform/heartbeats.py
+++ b/src/heathermount/platform/heartbeats.py
@@ -106,13 +106,19 @@
         try:
             announcement = decode_heartbeat(server_id, request.body)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-            logging.warning(
-                'event=heartbeat-malformed server=%s error="%s"', server_id, error
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                'event=heartbeat-malformed server=%s error="%s"',
+                1,
+                server_id,
+                error,
             )
             return HttpResponse(400, [])
         if announcement.service != self._service:
-            logging.warning(
+            logging.log_every_n_seconds(
+                logging.WARNING,
                 "event=heartbeat-foreign server=%s service=%s",
+                1,
                 server_id,
                 announcement.service,
             )
--- a/tests/test_gateway_news.py
+++ b/tests/test_gateway_news.py
@@ -10,6 +10,7 @@
 
 from builders_gateway import make_document
 from builders_news import (
+    STORE_DELAY_S,
     SimulatedFleet,
     assert_always,
     simulate,
@@ -23,6 +24,7 @@
     NodeRecord,
 )
 from heathermount.gateway.registration import LEASE_TTL_S
+from heathermount.store.interface import ChangeBatch
 
 # Bounds of the users' pages: configuration, withdrawn keys, and entries that are
 # back after an outage of the store.
@@ -413,3 +415,36 @@
 
     with caplog.at_level("INFO", logger="absl"):
         simulate(check)
+
+
+def test_watches_that_return_at_once_cost_few_calls() -> None:
+    """Guards against calls without a pause to a store that answers at once."""
+
+    async def check() -> None:
+        fleet = SimulatedFleet(1, 1)
+        await fleet.start()
+        (node,) = fleet.alive()
+        client = node.client
+        calls = 0
+
+        async def watch(prefix: str, after: int, wait_s: float) -> ChangeBatch:
+            nonlocal calls
+            calls += 1
+            await asyncio.sleep(STORE_DELAY_S)
+            return ChangeBatch([], after)
+
+        async def wait_for_change(after: int, timeout_s: float) -> tuple[bool, int]:
+            nonlocal calls
+            calls += 1
+            await asyncio.sleep(STORE_DELAY_S)
+            return False, after
+
+        with (
+            patch.object(client, "watch", watch),
+            patch.object(client, "wait_for_change", wait_for_change),
+        ):
+            await asyncio.sleep(30.0)
+        # Two watches, ten times a second at most.
+        assert calls <= 2 * 10 * 30
+
+    simulate(check)
