Serve no server before its recorded departures are loaded

Cause: a second heartbeat with a higher sequence number counted as proof that the server has not left. Heartbeats may be late, so that any number of them proves nothing.

Change: until the record is loaded no heartbeat starts the server.

--- a/src/heathermount/gateway/lifecycle.py
+++ b/src/heathermount/gateway/lifecycle.py
@@ -32,9 +32,9 @@
     """Tracks the heartbeats and departure of the local backend server.
 
     A server start is identified by server ID and start time. Once it has left, it
-    never serves again. Until the departures recorded by earlier processes are
-    loaded, one heartbeat is not sufficient to serve, because it may have been sent
-    before a departure and delayed.
+    never serves again. It does not serve either until the departures recorded by
+    earlier processes are loaded: any heartbeat may have been sent before a departure
+    and delayed.
     """
 
     __slots__ = (
@@ -108,10 +108,6 @@
             return self._departures_loaded
         if self.phase is Phase.SERVING:
             return not announcement.has_same_address_and_slots(known)
-        if self.phase is Phase.UNCONFIRMED and announcement.sequence > known.sequence:
-            # A server that has left sends no further heartbeats.
-            self.phase = Phase.SERVING
-            return True
         return False
 
     def handle_departures_loaded(self) -> bool:
