Answer requests that offer an upgrade of the protocol

Cause: the parser reports the complete request, and then raises because another protocol may follow. The connection took that for malformed input. It also does not read the body of such a request, so that a body would have been parsed as the next request.

Change: the offer is ignored, as RFC 9110, section 7.8 allows. The parser goes on after the head; for a request with a body a new parser is told its framing first. HTTP2-Settings is not forwarded. CONNECT gets 400.

--- a/src/heathermount/gateway/http_server.py
+++ b/src/heathermount/gateway/http_server.py
@@ -27,6 +27,7 @@
         b"connection",
         b"content-length",
         b"expect",
+        b"http2-settings",
         b"keep-alive",
         b"proxy-connection",
         b"te",
@@ -39,6 +40,9 @@
 # Pipelined requests queued per connection before reading pauses.
 MAX_PIPELINED_REQUESTS: Final = 16
 
+# Headers that determine how a body is framed.
+FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
+
 # Time that the client has to close a connection after a response with "close".
 # Closing it immediately could reset it and lose the response.
 LINGERING_CLOSE_S: Final = 1.0
@@ -120,8 +124,10 @@
         "_loop",
         "_parser",
         "_pipelined",
+        "_replaying_head",
         "_request_bytes",
         "_request_started_at",
+        "_suspended_request",
         "_target",
         "_task",
         "_timeout_check",
@@ -159,6 +165,10 @@
         self._headers: Headers | None = []
         self._body: bytes | bytearray = b""
         self._request_bytes = 0
+        # Request with an offer to upgrade, until its body is complete.
+        self._suspended_request: HttpRequest | None = None
+        # Whether the parser is being told how the body of that request is framed.
+        self._replaying_head = False
 
     @property
     def busy(self) -> bool:
@@ -190,9 +200,7 @@
         if not self._request_started_at:
             self._request_started_at = self._last_received_at
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST)
+            self._feed_parser(data)
         except httptools.HttpParserError as error:
             if not self._ignoring_input:
                 logging.log_every_n_seconds(
@@ -202,6 +210,31 @@
         if head_continues and not self._head_complete:
             self._count_head_bytes(len(data))
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Parse data; offers to upgrade the protocol are ignored (RFC 9110, 7.8).
+
+        The parser stops after each head with such an offer.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                data = data[upgrade.args[0] :]
+                if self._suspended_request is not None:
+                    self._restart_parser(self._suspended_request.headers)
+
+    def _restart_parser(self, headers: Headers) -> None:
+        """Make the parser read the body of a request whose head it has read.
+
+        It takes what follows an offer to upgrade for another protocol.
+        """
+        self._parser = httptools.HttpRequestParser(self)
+        framing = [b"%b: %b\r\n" % one for one in headers if one[0] in FRAMING_HEADERS]
+        self._replaying_head = True
+        self._parser.feed_data(b"POST / HTTP/1.1\r\n%b\r\n" % b"".join(framing))
+        self._replaying_head = False
+
     def _count_head_bytes(self, count: int) -> None:
         """Limit an incomplete head, of which the parser reports only whole lines."""
         self._head_bytes += count
@@ -223,13 +256,15 @@
     # Parser callbacks.
 
     def on_message_begin(self) -> None:
-        self._reset_message()
+        if not self._replaying_head:
+            self._reset_message()
 
     def on_url(self, url: bytes) -> None:
-        self._target += url
+        if not self._replaying_head:
+            self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._headers is not None:
+        if self._headers is not None and not self._replaying_head:
             self._headers.append((name.lower(), value))
             self._request_bytes += len(name) + len(value) + 4
             if self._request_bytes > self._get_limits().max_header_bytes:
@@ -237,7 +272,7 @@
 
     def on_headers_complete(self) -> None:
         self._head_complete = True
-        if self._headers is None or self._transport is None:
+        if self._headers is None or self._transport is None or self._replaying_head:
             return
         if find_header(self._headers, b"expect").lower() == b"100-continue":
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -257,14 +292,10 @@
     def on_message_complete(self) -> None:
         if self._ignoring_input or self._headers is None:
             return
+        request = self._take_request()
+        if request is None:
+            return
         self._request_started_at = 0.0
-        request = HttpRequest(
-            self._parser.get_method(),
-            self._target,
-            self._headers,
-            bytes(self._body),
-            self._parser.should_keep_alive(),
-        )
         self._headers = None
         if self._task is not None:
             self._pipelined.append(request)
@@ -276,6 +307,30 @@
             return
         self._start_request(request)
 
+    def _take_request(self) -> HttpRequest | None:
+        """Return the complete request; None if its body is still to be read."""
+        request, self._suspended_request = self._suspended_request, None
+        if request is not None:
+            request.body = bytes(self._body)
+            return request
+        assert self._headers is not None
+        request = HttpRequest(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            bytes(self._body),
+            self._parser.should_keep_alive(),
+        )
+        if not self._parser.should_upgrade():
+            return request
+        if request.method == b"CONNECT":
+            self._reject(HTTPStatus.BAD_REQUEST)
+            return None
+        if any(name in FRAMING_HEADERS for name, _ in request.headers):
+            self._suspended_request = request
+            return None
+        return request
+
     def close_when_idle(self) -> None:
         """Close the connection now, or after the pending response."""
         self._close_after_response = True
--- a/tests/test_gateway_http_server.py
+++ b/tests/test_gateway_http_server.py
@@ -75,6 +75,78 @@
     run_async(check)
 
 
+UPGRADE = (
+    b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AA\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("framing", "sent_body", "body"),
+    [
+        (b"", b"", b""),
+        (b"Content-Length: 0\r\n", b"", b""),
+        (b"Content-Length: 16\r\n", b"GET /x HTTP/1.1\n", b"GET /x HTTP/1.1\n"),
+        (
+            b"Transfer-Encoding: chunked\r\n",
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+            b"abcde",
+        ),
+    ],
+    ids=["no body", "empty", "length", "chunked"],
+)
+@pytest.mark.parametrize("part_bytes", [1, 7, 100_000])
+def test_answers_requests_that_offer_an_upgrade(
+    framing: bytes, sent_body: bytes, body: bytes, part_bytes: int
+) -> None:
+    """Guards against a run without an answer, and a body taken for a request.
+
+    The offer is ignored, and the connection serves the next, pipelined requests.
+    """
+
+    async def echo_slowly(request: HttpRequest) -> HttpResponse:
+        await asyncio.sleep(0.01)
+        return await echo(request)
+
+    async def check() -> None:
+        request = b"POST /a HTTP/1.1\r\n" + UPGRADE + framing + b"\r\n" + sent_body
+        data = request * 3 + b"GET /b HTTP/1.1\r\n\r\n" + request
+        async with serve_http(echo_slowly, LIMITS) as (reader, writer):
+            for offset in range(0, len(data), part_bytes):
+                writer.write(data[offset : offset + part_bytes])
+                await asyncio.sleep(0)
+            answers = [await read_response(reader) for _ in range(5)]
+        expected = b"/a " + body
+        bodies = [answer[2] for answer in answers]
+        assert bodies == [expected, expected, expected, b"/b ", expected]
+        assert {answer[0] for answer in answers} == {200}
+        assert not any("connection" in answer[1] for answer in answers)
+
+    run_async(check)
+
+
+def test_a_long_body_after_an_offer_to_upgrade_is_rejected() -> None:
+    """Guards against a body that escapes the size limit."""
+
+    async def check() -> None:
+        async with serve_http(echo, LIMITS) as (reader, writer):
+            writer.write(b"POST /a HTTP/1.1\r\n" + UPGRADE)
+            writer.write(b"Content-Length: 5000\r\n\r\n" + b"z" * 5000)
+            assert (await read_response(reader))[0] == 413
+
+    run_async(check)
+
+
+def test_connect_is_rejected() -> None:
+    """Guards against a tunnel whose bytes would be taken for requests."""
+
+    async def check() -> None:
+        async with serve_http(echo, LIMITS) as (reader, writer):
+            writer.write(b"CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\nbytes")
+            assert (await read_response(reader))[0] == 400
+
+    run_async(check)
+
+
 def test_cancels_a_request_when_its_client_disconnects() -> None:
     """Guards against work for clients that have disconnected."""
     cancelled = asyncio.Event()
