Let a stopping node wait for the readers of its responses

Cause: a connection counted as idle once its response was handed to the transport. Bytes that the client had not read were lost with the process. The same holds for answers that another node had not read.

Change: a stopping node exits once no response is pending, in work or in a buffer, of clients and peers, or when its grace period ends.

--- a/src/heathermount/gateway/http_server.py
+++ b/src/heathermount/gateway/http_server.py
@@ -174,6 +174,12 @@
     def busy(self) -> bool:
         return self._task is not None or bool(self._pipelined)
 
+    @property
+    def has_unsent_response(self) -> bool:
+        """Whether the client has not read a response that is ready."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
--- a/src/heathermount/gateway/listeners.py
+++ b/src/heathermount/gateway/listeners.py
@@ -54,6 +54,12 @@
             address, lambda: PeerConnection(handler, self._peer_connections)
         )
 
+    def has_pending_responses(self) -> bool:
+        """Whether a client or peer waits for a response, or is still reading one."""
+        return any(
+            client.busy or client.has_unsent_response for client in self.clients
+        ) or any(peer.has_unsent_frames for peer in self._peer_connections)
+
     def stop_accepting(self) -> None:
         """Close the listeners; open connections continue."""
         for server in self._servers:
--- a/src/heathermount/gateway/node.py
+++ b/src/heathermount/gateway/node.py
@@ -440,9 +440,8 @@
             client.close_when_idle()
 
     async def _wait_until_idle(self) -> None:
-        """Wait until no request is running, or until the process must exit."""
+        """Wait until all responses are read, or until the process must exit."""
         while not self._graceful_stop.exit_due:
-            busy = any(client.busy for client in self._listeners.clients)
-            if not busy and not self.executor.busy:
+            if not self._listeners.has_pending_responses() and not self.executor.busy:
                 return
             await asyncio.sleep(IDLE_POLL_INTERVAL_S)
--- a/src/heathermount/gateway/peer_connections.py
+++ b/src/heathermount/gateway/peer_connections.py
@@ -44,6 +44,13 @@
         self._outgoing_parts: list[bytes] = []
         self.transport: asyncio.Transport | None = None
 
+    @property
+    def has_unsent_frames(self) -> bool:
+        transport = self.transport
+        if transport is None:
+            return False
+        return bool(self._outgoing_parts) or transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         configure_socket(transport)
--- a/src/heathermount/standins/platform_server.py
+++ b/src/heathermount/standins/platform_server.py
@@ -67,7 +67,7 @@
     Each request takes the first entry of `faults`. If `work` is set, it is awaited
     for each request and returns the status; otherwise a request takes `work_s`
     seconds. `keep_alive` is the value of the Keep-Alive header, if any. `headers`
-    are further headers of each answer.
+    are further headers of each answer. The body of an answer begins with `padding`.
     """
 
     def __init__(self, server_id: str, work_s: float = 0.0) -> None:
@@ -80,6 +80,7 @@
         self.cancelled = 0
         self.keep_alive = ""
         self.headers: dict[str, str] = {}
+        self.padding = b""
         self.cut_at = 0
 
     def make_heartbeat(
@@ -157,7 +158,7 @@
         status: int,
     ) -> bool:
         request_id = request.request_id
-        body = f"{self.server_id} {request.target}".encode()
+        body = self.padding + f"{self.server_id} {request.target}".encode()
         extra = self._format_extra_headers()
         response = make_response(status, request_id, body, True, extra)
         match fault:
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -5,13 +5,19 @@
 
 from builders_gateway import (
     RunningNode,
+    find_free_ports,
     make_document,
     make_route,
     run_async,
     run_fleet,
+    wait_for,
 )
 from heathermount.clocks import ManualClock
+from heathermount.framing import FRAME_HEADER, FrameKind
 from heathermount.gateway.graceful_stop import GracefulStop
+from heathermount.gateway.http_server import HttpLimits
+from heathermount.gateway.listeners import Listeners
+from heathermount.gateway.messages import MESSAGE_ENCODER, Answer, Message, Ping
 from heathermount.standins.platform_client import (
     encode_request,
     read_response,
@@ -19,6 +25,9 @@
 )
 from heathermount.standins.platform_server import ServedRequest
 
+# More than the buffers of a loopback connection hold, less than a node's limit.
+LONG_BODY_BYTES = 14_000_000
+
 ROUTES = [
     make_route(),
     make_route("order", "/order/", ("pantry",), idempotent=False, timeout_s=6.0),
@@ -133,3 +142,57 @@
             assert len(nodes[1].server.served) == 1
 
     run_async(check)
+
+
+def test_stopping_node_waits_for_the_readers_of_its_responses() -> None:
+    """Guards against an exit while a response is in the buffers of the process.
+
+    The server has ended its work, and the client is still reading.
+    """
+
+    async def check() -> None:
+        async with run_fleet(("pantry",), make_document(1, ROUTES), grace="4s") as (
+            _,
+            (node,),
+        ):
+            node.server.padding = b"a" * LONG_BODY_BYTES
+            host, _, port = node.settings.listen.outbound.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(encode_request("GET", "/stock/1"))
+            await wait_for(lambda: bool(node.server.served))
+            await asyncio.sleep(0.3)
+            task = await begin_stop(node)
+            # Requests are refused after half of the grace period.
+            await asyncio.sleep(2.5)
+            assert not task.done()
+            status, _, body = await read_response(reader)
+            assert (status, len(body) > LONG_BODY_BYTES) == (200, True)
+            await asyncio.wait([task], timeout=1.0)
+            assert task.done()
+            writer.close()
+
+    run_async(check)
+
+
+def test_responses_that_a_peer_has_not_read_are_pending() -> None:
+    """Guards against an exit while the entry node is still reading a response."""
+
+    async def check() -> None:
+        async def answer(_: Message) -> Message:
+            return Answer(200, [], b"a" * LONG_BODY_BYTES, "ran")
+
+        listeners = Listeners(HttpLimits, lambda: False)
+        (port,) = find_free_ports(1)
+        await listeners.accept_peers(f"127.0.0.1:{port}", answer)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        body = MESSAGE_ENCODER.encode(Ping("n-2", 0, 0.0))
+        writer.write(FRAME_HEADER.pack(len(body), 1, FrameKind.REQUEST) + body)
+        await wait_for(listeners.has_pending_responses)
+        await asyncio.sleep(0.3)
+        assert listeners.has_pending_responses()
+        await reader.readexactly(LONG_BODY_BYTES)
+        await wait_for(lambda: not listeners.has_pending_responses())
+        writer.close()
+        listeners.close()
+
+    run_async(check)
