Count head and body of a request against their own limits

Cause: one counter for both. Trailers were also appended to the headers, where they passed for headers of the request.

Change: one counter for headers and trailers, one for the body. Trailers are dropped.

Measured: test_head_does_not_count_against_the_limit_of_the_body fails before (413) and passes after.

--- a/src/heathermount/gateway/http_server.py
+++ b/src/heathermount/gateway/http_server.py
@@ -110,12 +110,14 @@
 
     __slots__ = (
         "_body",
+        "_body_bytes",
         "_close_after_response",
         "_connections",
         "_get_limits",
         "_handler",
         "_head_bytes",
         "_head_complete",
+        "_header_bytes",
         "_headers",
         "_idle_since",
         "_ignoring_input",
@@ -125,7 +127,6 @@
         "_parser",
         "_pipelined",
         "_replaying_head",
-        "_request_bytes",
         "_request_started_at",
         "_suspended_request",
         "_target",
@@ -164,7 +165,9 @@
         # None between two requests.
         self._headers: Headers | None = []
         self._body: bytes | bytearray = b""
-        self._request_bytes = 0
+        # Bytes of the headers and trailers, and of the body, of the current request.
+        self._header_bytes = 0
+        self._body_bytes = 0
         # Request with an offer to upgrade, until its body is complete.
         self._suspended_request: HttpRequest | None = None
         # Whether the parser is being told how the body of that request is framed.
@@ -270,11 +273,14 @@
             self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._headers is not None and not self._replaying_head:
+        if self._headers is None or self._replaying_head:
+            return
+        if not self._head_complete:
+            # Trailers are dropped: they must not be taken for headers.
             self._headers.append((name.lower(), value))
-            self._request_bytes += len(name) + len(value) + 4
-            if self._request_bytes > self._get_limits().max_header_bytes:
-                self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        self._header_bytes += len(name) + len(value) + 4
+        if self._header_bytes > self._get_limits().max_header_bytes:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         self._head_complete = True
@@ -291,8 +297,8 @@
             if isinstance(self._body, bytes):
                 self._body = bytearray(self._body)
             self._body += body
-        self._request_bytes += len(body)
-        if self._request_bytes > self._get_limits().max_body_bytes:
+        self._body_bytes += len(body)
+        if self._body_bytes > self._get_limits().max_body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
@@ -358,7 +364,8 @@
         self._head_bytes = 0
         self._headers = []
         self._body = b""
-        self._request_bytes = 0
+        self._header_bytes = 0
+        self._body_bytes = 0
 
     def _start_request(self, request: HttpRequest) -> None:
         self._task = self._loop.create_task(self._serve(request))
--- a/tests/test_gateway_http_server.py
+++ b/tests/test_gateway_http_server.py
@@ -5,7 +5,12 @@
 import pytest
 
 from builders_gateway import run_async, serve_http
-from heathermount.gateway.http_server import HttpLimits, HttpRequest, HttpResponse
+from heathermount.gateway.http_server import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
 from heathermount.standins.platform_client import read_response
 
 LIMITS = HttpLimits(2000, 3000, 0.2, 0.4)
@@ -136,6 +141,36 @@
     run_async(check)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_head_does_not_count_against_the_limit_of_the_body(framing: str) -> None:
+    """Guards against 413 for a body within its limit, and 431 for a short trailer.
+
+    A trailer is no header of the request.
+    """
+    received: list[HttpRequest] = []
+
+    async def keep(request: HttpRequest) -> HttpResponse:
+        received.append(request)
+        return HttpResponse(200, [])
+
+    async def check() -> None:
+        body = b"z" * LIMITS.max_body_bytes
+        async with serve_http(keep, LIMITS) as (reader, writer):
+            writer.write(b"POST /a HTTP/1.1\r\nx: " + b"y" * 1900 + b"\r\n")
+            if framing == "length":
+                writer.write(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+            else:
+                writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
+                writer.write(b"%x\r\n%b\r\n0\r\n" % (len(body), body))
+                writer.write(b"x-trailer: z\r\n\r\n")
+            assert (await read_response(reader))[0] == 200
+        (request,) = received
+        assert request.body == body
+        assert not find_header(request.headers, b"x-trailer")
+
+    run_async(check)
+
+
 def test_connect_is_rejected() -> None:
     """Guards against a tunnel whose bytes would be taken for requests."""
 
