Count only runs as completions of requests that crash servers

Cause: any complete response counted as a completion, which ends the suspicion of a request. A rejection says that the server has not run it.

Change: only a response of a run ends the suspicion.

Measured: the new test fails before for 503 and 421 and passes after.

--- a/src/heathermount/gateway/request_executor.py
+++ b/src/heathermount/gateway/request_executor.py
@@ -374,8 +374,10 @@
             answer = incomplete_response_to_answer(error.response_started)
             return answer, RunResult.CRASHED
         self._lifecycle.record_activity()
-        self._quarantine.record_completion(message.fingerprint)
         answer, result = self._interpret_response(message, response, announcement)
+        if answer.outcome is Outcome.RAN:
+            # A request that was rejected may still crash the server that runs it.
+            self._quarantine.record_completion(message.fingerprint)
         if response.status != MISDIRECTED_STATUS:
             self._apply_statements(response, announcement, answer)
         return answer, result
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from typing import Any
 
 import pytest
 
@@ -308,6 +309,50 @@
     run_async(check)
 
 
+@pytest.mark.parametrize("rejects", [Fault.SHED, None])
+def test_a_rejection_is_no_completion_of_a_request_that_crashes_servers(
+    rejects: Fault | None,
+) -> None:
+    """Guards against a rejection, 503 or 421, that ends the suspicion of a request."""
+
+    async def check() -> None:
+        clock = SystemClock()
+        executor = make_executor(clock, make_tracker(clock))
+
+        async def announce(born_ms: int, server_id: str = "i-1") -> Any:
+            server = PlatformServerStandIn(server_id)
+            await server.start()
+            executor.handle_heartbeat(
+                make_announcement(server.address, born_ms=born_ms)
+            )
+            return server
+
+        async def crash_server(born_ms: int) -> None:
+            server = await announce(born_ms)
+
+            async def crash(_: ServedRequest) -> int:
+                server.stop()
+                raise ConnectionResetError("crashed")
+
+            server.work = crash
+            answer = await executor.execute(make_execute())
+            assert answer.reason == Reason.SERVER_FAILED
+
+        await crash_server(1)
+        rejecting = await announce(2, "i-1" if rejects else "i-2")
+        rejecting.faults = [rejects] if rejects else []
+        answer = await executor.execute(make_execute())
+        assert answer.outcome == Outcome.NOT_RUN
+        rejecting.stop()
+        await crash_server(3)
+        server = await announce(4)
+        answer = await executor.execute(make_execute())
+        assert answer.reason == Reason.QUARANTINED
+        server.stop()
+
+    run_async(check)
+
+
 def test_a_lost_response_is_not_a_crash() -> None:
     """Guards against quarantine of requests whose responses were merely lost."""
 
