Cover starts that are not known by a repeated departure

Cause: a DELETE names no start. One for a server that is not known covers all starts until now; one for a server whose known start has left covered that start only.

Change: it covers all starts until now as well.

--- a/src/heathermount/gateway/lifecycle.py
+++ b/src/heathermount/gateway/lifecycle.py
@@ -128,9 +128,13 @@
         return True
 
     def handle_departure(self, server_id: str) -> None:
-        """Handle the departure of a server."""
+        """Handle the departure of a server.
+
+        It names no start. If the known one has left already, it may be that of a later
+        start whose heartbeats are delayed.
+        """
         known = self.announcement
-        if known is None or known.server_id != server_id:
+        if known is None or known.server_id != server_id or self._has_departed(known):
             self._log.record(
                 "departure-unknown",
                 server=server_id,
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -147,9 +147,12 @@
 
 
 def make_executor(
-    clock: Clock, tracker: ConfigurationTracker, drain_s: float = 2.0
+    clock: Clock,
+    tracker: ConfigurationTracker,
+    drain_s: float = 2.0,
+    departures: Departures | None = None,
 ) -> RequestExecutor:
-    """Return an executor that has loaded an empty record of departures."""
+    """Return an executor; without `departures` it has loaded an empty record."""
     events = EventLog("n-1", clock, quiet=True)
     executor = RequestExecutor(
         "pantry",
@@ -163,13 +166,14 @@
         PolicySettings(),
         drain_s,
         Quarantine(clock),
-        Departures(),
+        departures if departures is not None else Departures(),
         GracefulStop(clock),
         True,
         GatewayMetrics(dict),
         lambda: None,
     )
-    executor.handle_departures_loaded()
+    if departures is None:
+        executor.handle_departures_loaded()
     return executor
 
 
--- a/tests/builders_news.py
+++ b/tests/builders_news.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Coroutine
 from enum import Enum
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -103,6 +103,23 @@
         self.history.append(KeyChange(key, value, self.revision))
         self.notify()
 
+    def commit(
+        self,
+        compares: dict[str, int],
+        writes: dict[str, bytes | None],
+        lease_id: int,
+    ) -> bool:
+        """Apply the writes if all compared versions are current."""
+        if lease_id and lease_id not in self.lease_ends:
+            return False
+        for key, version in compares.items():
+            item = self.items.get(key)
+            if version != (item[1] if item is not None else 0):
+                return False
+        for key, value in writes.items():
+            self.put(key, value, lease_id)
+        return True
+
     def put_document(self, document: GatewayDocument) -> None:
         self.revision += 1
         self.document, self.document_revision = document, self.revision
@@ -126,10 +143,19 @@
                     self.end_lease(lease_id)
 
 
+class StoreReachability(Protocol):
+    """How the store fails for a node, as described in SimulatedNode."""
+
+    cut_from_store: bool
+    turned_away_by_store: bool
+    store_answers_lost: bool
+    writes_delay_s: float
+
+
 class SimulatedStoreClient:
     """One node's client of the store, which implements WatchedStore."""
 
-    def __init__(self, store: SimulatedStore, node: "SimulatedNode") -> None:
+    def __init__(self, store: SimulatedStore, node: "StoreReachability") -> None:
         self._store = store
         self._node = node
         self._known_document_revision = 0
@@ -161,7 +187,10 @@
             raise StoreUnavailable("no answer")
 
     async def get(self, key: str) -> Versioned | None:
-        raise NotImplementedError
+        await self._call()
+        await self._answer_read()
+        item = self._store.items.get(key)
+        return Versioned(item[0], item[1]) if item is not None else None
 
     async def get_prefix(self, prefix: str) -> dict[str, Versioned]:
         raise NotImplementedError
@@ -204,12 +233,16 @@
         lease_id: int = 0,
     ) -> bool:
         await self._call()
-        if lease_id not in self._store.lease_ends:
-            return False
-        for key, value in writes.items():
-            self._store.put(key, value, lease_id)
+        if self._node.writes_delay_s:
+            delay_s = self._node.writes_delay_s
+            asyncio.get_running_loop().call_later(
+                delay_s, self._store.commit, compares, writes, lease_id
+            )
+            await asyncio.sleep(STORE_TIMEOUT_S)
+            raise StoreOutcomeUnknown("no answer")
+        committed = self._store.commit(compares, writes, lease_id)
         await self._answer_write()
-        return True
+        return committed
 
     async def grant_lease(self, ttl_s: float) -> int:
         await self._call()
@@ -287,6 +320,8 @@
         self.turned_away_by_store = False
         # The store applies this node's writes, but its answers are lost.
         self.store_answers_lost = False
+        # Delay after which the store applies this node's writes, without an answer.
+        self.writes_delay_s = 0.0
         # Peers neither get messages from this node nor answer it.
         self.isolated = False
         # Messages wait until the node runs again.
--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -54,6 +54,29 @@
     run_async(check)
 
 
+def test_a_departure_after_another_one_covers_starts_that_are_not_known() -> None:
+    """Guards against a start that leaves before its first heartbeat arrives.
+
+    The start before it, with the same server ID, has left already.
+    """
+    clock = ManualClock()
+    lifecycle = make_lifecycle(clock)
+    lifecycle.handle_departures_loaded()
+    now_ms = int(clock.wall() * 1000)
+    first = make_announcement("127.0.0.1:1", born_ms=now_ms)
+    assert lifecycle.handle_heartbeat(first)
+    lifecycle.handle_departure("i-1")
+    clock.advance(5.0)
+    lifecycle.handle_departure("i-1")
+    assert not lifecycle.handle_heartbeat(
+        make_announcement("127.0.0.1:1", born_ms=now_ms + 4000)
+    )
+    assert not lifecycle.serving
+    assert lifecycle.handle_heartbeat(
+        make_announcement("127.0.0.1:1", born_ms=now_ms + 6000)
+    )
+
+
 @pytest.mark.parametrize(
     "late_heartbeat",
     [
