Let each departure cover all starts of the server until now

The node knows the start before, which has not left, and took the DELETE for that one only.

Cause: a DELETE names no start, and the node's knowledge of starts may be late.

Change: one rule for all cases, a DELETE covers all starts until now.

--- a/src/heathermount/gateway/lifecycle.py
+++ b/src/heathermount/gateway/lifecycle.py
@@ -130,20 +130,20 @@
     def handle_departure(self, server_id: str) -> None:
         """Handle the departure of a server.
 
-        It names no start. If the known one has left already, it may be that of a later
-        start whose heartbeats are delayed.
+        It names no start, and heartbeats of a later start than the known one may be
+        delayed. So it covers all starts until now.
         """
         known = self.announcement
-        if known is None or known.server_id != server_id or self._has_departed(known):
+        now_ms = int(self._clock.wall() * 1000)
+        if known is None or known.server_id != server_id:
             self._log.record(
                 "departure-unknown",
                 server=server_id,
                 known_server=known.server_id if known is not None else "",
             )
-            # Covers all starts until now, because delayed heartbeats may arrive.
-            self.departures.add(server_id, int(self._clock.wall() * 1000))
+            self.departures.add(server_id, now_ms)
             return
-        self.departures.add(server_id, known.born_ms)
+        self.departures.add(server_id, max(now_ms, known.born_ms))
         if not self.leaving:
             self._start_leaving("gone")
 
