--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 export PYTHONPATH = src
 SEED ?= 1
 SECONDS ?= 60
+SEEDS ?= 100
 
-.PHONY: demo test check soak soak-gateway measure capacity clean
+.PHONY: demo test check soak soak-gateway simulate measure capacity clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -30,6 +31,11 @@
 soak-gateway: $(VENV)/.installed
 	$(BIN)/python -m heathermount.soak.gateway --seed=$(SEED) --seconds=$(SECONDS)
 
+simulate: $(VENV)/.installed
+	DEPARTURE_SEEDS=$(SEEDS) QUOTA_SEEDS=$(SEEDS) PROPAGATION_SEEDS=$(SEEDS) \
+	$(BIN)/python -m pytest tests/test_gateway_departure_faults.py \
+		tests/test_gateway_quota_faults.py tests/test_gateway_propagation.py
+
 measure: $(VENV)/.installed
 	$(BIN)/python -m heathermount.measurement.measure
 
--- a/tests/test_gateway_quota_faults.py
+++ b/tests/test_gateway_quota_faults.py
@@ -6,17 +6,21 @@
 import asyncio
 import os
 from enum import Enum
-from functools import partial
 from random import Random
 from typing import Final
+from unittest.mock import patch
 
 import pytest
 
 from builders_news import SimulatedFleet, SimulatedNode, simulate
 from builders_quota import MAX_IN_WINDOW, RATE_PER_S, Demand, QuotaNode
+from heathermount.gateway.registry import Registry
 
 SEEDS: Final = int(os.environ.get("QUOTA_SEEDS", "4"))
 
+# Random runs within which a former fault has to show.
+MAX_SEEDS_TO_FIND: Final = 20
+
 ORGANISATION_NAMES: Final = [f"cart-{i}" for i in range(8)]
 
 # Each organisation sends about five times its rate.
@@ -102,11 +106,11 @@
     simulate(check)
 
 
-def test_limit_holds_under_random_faults() -> None:
-    """Guards against orders of faults in which two nodes hold the same limit."""
+def find_exceeded(seed: int) -> list[str]:
+    """Play one random order of faults; return the organisations over their limit."""
     exceeded: list[str] = []
 
-    async def check(seed: int) -> None:
+    async def play() -> None:
         random = Random(seed)
         fleet = SimulatedFleet(10, 3, QuotaNode)
         await fleet.start()
@@ -119,11 +123,32 @@
         task.cancel()
         exceeded.extend(f"seed {seed}, {one}" for one in list_exceeded(demand))
 
-    for seed in range(SEEDS):
-        simulate(partial(check, seed))
+    simulate(play)
+    return exceeded
+
+
+def test_limit_holds_under_random_faults() -> None:
+    """Guards against orders of faults in which two nodes hold the same limit."""
+    exceeded = [one for seed in range(SEEDS) for one in find_exceeded(seed)]
     assert not exceeded
 
 
+def list_own_server_at_once(registry: Registry) -> list[str]:
+    """Count a node's own server before the store has its entry (review case 2)."""
+    return [one.node for one in registry.nodes.values() if one.server is not None]
+
+
+def test_random_runs_find_a_former_fault() -> None:
+    """Guards against a simulation that no longer sees the fault of the past."""
+    former = list_own_server_at_once
+    with patch.object(Registry, "list_registered_servers", former):
+        for seed in range(MAX_SEEDS_TO_FIND):
+            if find_exceeded(seed):
+                print(f"found with {seed + 1} seeds")
+                return
+    raise AssertionError(f"not found with {MAX_SEEDS_TO_FIND} seeds")
+
+
 async def disturb(fleet: SimulatedFleet, random: Random) -> None:
     """Add, disturb, kill or recover some nodes, then wait."""
     nodes = list(fleet.nodes.values())
