--- a/tests/test_gateway_departure_faults.py
+++ b/tests/test_gateway_departure_faults.py
@@ -129,6 +129,12 @@
     assert not find_broken(SEEDS)
 
 
+# The methods that former faults replace.
+original_save = DepartureStore.save
+original_handle_heartbeat = ServerLifecycle.handle_heartbeat
+original_handle_departure = ServerLifecycle.handle_departure
+
+
 async def save_in_background(store: DepartureStore) -> bool:
     """Acknowledge a departure although it is not saved (review case 1)."""
     await original_save(store)
@@ -158,11 +164,6 @@
         original_handle_departure(lifecycle, server_id)
 
 
-original_save = DepartureStore.save
-original_handle_heartbeat = ServerLifecycle.handle_heartbeat
-original_handle_departure = ServerLifecycle.handle_departure
-
-
 @pytest.mark.parametrize(
     ("target", "name", "fault"),
     [
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -23,6 +23,7 @@
     MAX_BUFFERED_BYTES,
     ResponseIncomplete,
     ServerConnectionPool,
+    ServerResponse,
 )
 from heathermount.gateway.http_server import HttpLimits, HttpRequest, HttpResponse
 from heathermount.gateway.server_connection import ServerConnection
@@ -161,57 +162,46 @@
     assert len(caplog.records) < MAX_LOG_LINES_PER_RESPONSE
 
 
+async def exchange_with_server(response: bytes, request_id: bytes) -> ServerResponse:
+    """Send one request to a server that sends the given bytes; return its response."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    pool = ServerConnectionPool(f"{host}:{port}", b"x-heathermount-request-id", 4)
+    try:
+        return await pool.exchange(b"GET / HTTP/1.1\r\n\r\n", request_id)
+    finally:
+        server.close()
+
+
 def test_late_responses_to_earlier_requests_are_skipped() -> None:
     """Guards against a bound that rejects the few late answers of a sound server."""
 
     async def check() -> None:
-        late = FOREIGN_RESPONSE * 3
         expected = b"HTTP/1.1 200 OK\r\nX-Heathermount-Request-Id: r-1\r\n"
         expected += b"Content-Length: 5\r\n\r\nwhole"
-
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(late + expected)
-            await reader.read()
-            writer.close()
-
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        pool = ServerConnectionPool(f"{host}:{port}", b"x-heathermount-request-id", 4)
-        response = await pool.exchange(b"GET / HTTP/1.1\r\n\r\n", b"r-1")
+        response = await exchange_with_server(FOREIGN_RESPONSE * 3 + expected, b"r-1")
         assert (response.status, response.body) == (200, b"whole")
-        server.close()
 
     run_async(check)
 
 
 @pytest.mark.parametrize("part_bytes", [2, 1_000])
-def test_a_body_in_small_reads_is_whole(part_bytes: int) -> None:
+def test_a_body_in_small_parts_is_whole(part_bytes: int) -> None:
     """Guards against a bound on work that cuts off a body in small parts."""
 
     async def check() -> None:
-        body = b"a" * part_bytes * 4_000
-
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            chunk = b"%x\r\n%b\r\n" % (part_bytes, b"a" * part_bytes)
-            for _ in range(4_000):
-                writer.write(chunk)
-            writer.write(b"0\r\n\r\n")
-            await reader.read()
-            writer.close()
-
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        pool = ServerConnectionPool(f"{host}:{port}", b"", 4)
-        response = await pool.exchange(b"GET / HTTP/1.1\r\n\r\n", b"")
-        assert response.body == body
-        server.close()
+        part = b"a" * part_bytes
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunks = b"%x\r\n%b\r\n" % (part_bytes, part) * 4_000
+        response = await exchange_with_server(head + chunks + b"0\r\n\r\n", b"")
+        assert response.body == part * 4_000
 
     run_async(check)
 
--- a/tests/test_gateway_quota_faults.py
+++ b/tests/test_gateway_quota_faults.py
@@ -211,19 +211,25 @@
     return sum(1.0 / one.node_count for one in budgets if one.uses_slack)
 
 
+async def measure_refused_share(
+    fleet: SimulatedFleet, rate_ratio: float, seconds: float
+) -> float:
+    """Return refused by admitted requests of a demand of `rate_ratio` of the rate."""
+    demand = Demand(fleet, ORGANISATION_NAMES, rate_ratio * RATE_PER_S)
+    task = asyncio.create_task(demand.run())
+    await asyncio.sleep(seconds)
+    task.cancel()
+    refused = sum(len(times) for times in demand.refused_at.values())
+    return refused / sum(len(times) for times in demand.admitted_at.values())
+
+
 def test_limit_is_available_on_a_sound_fleet() -> None:
     """Guards against refusals within the rate by nodes that know their entries."""
 
     async def check() -> None:
         fleet = SimulatedFleet(10, 3, QuotaNode)
         await fleet.start()
-        demand = Demand(fleet, ORGANISATION_NAMES, 0.8 * RATE_PER_S)
-        task = asyncio.create_task(demand.run())
-        await asyncio.sleep(10.0)
-        task.cancel()
-        refused = sum(len(times) for times in demand.refused_at.values())
-        admitted = sum(len(times) for times in demand.admitted_at.values())
-        assert refused <= 0.01 * admitted
+        assert await measure_refused_share(fleet, 0.8, 10.0) <= 0.01
 
     simulate(check)
 
@@ -238,7 +244,6 @@
     async def check() -> None:
         fleet = SimulatedFleet(10, 3, QuotaNode)
         await fleet.start()
-        demand = Demand(fleet, ORGANISATION_NAMES, 0.5 * RATE_PER_S)
         for node in fleet.alive():
             node.kill()
         await asyncio.sleep(0.5)
@@ -249,11 +254,6 @@
             node.turned_away_by_store = index % 2 == 0
             node.announce_server()
         await asyncio.sleep(3.0)
-        task = asyncio.create_task(demand.run())
-        await asyncio.sleep(4.0)
-        task.cancel()
-        refused = sum(len(times) for times in demand.refused_at.values())
-        admitted = sum(len(times) for times in demand.admitted_at.values())
-        assert refused <= 0.05 * admitted
+        assert await measure_refused_share(fleet, 0.5, 4.0) <= 0.05
 
     simulate(check)
