--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -112,6 +112,7 @@
         self.listener = None
         self.address = ""
         self.writers = set()
+        self.tasks = set()
 
     async def start(self, port=0):
         self.listener = await asyncio.start_server(
@@ -124,13 +125,18 @@
         self.listener.close()
         for writer in list(self.writers):
             writer.transport.abort()
+        for task in list(self.tasks):
+            task.cancel()
 
     async def _accept(self, reader, writer):
         self.writers.add(writer)
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         try:
             while await self._serve(reader, writer):
                 pass
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -208,7 +214,8 @@
         self.settings = fleet.folder / f"{name}.toml"
         self.log = fleet.folder / f"{name}.log"
 
-    def start(self):
+    def write_settings(self):
+        """Write the settings file, as at each start and whenever settings change."""
         fields = {
             "NodeName": self.name,
             "Service": self.service,
@@ -226,6 +233,9 @@
         }
         template = (ROOT / ROLE["template"]).read_text()
         self.settings.write_text(render(template, fields))
+
+    def start(self):
+        self.write_settings()
         self.bootstrap = False
         environment = {
             "PATH": os.environ["PATH"],
